On SIGHUP read the file anew and move director and counter without dropping a request

Checked: exit status 129 is the default action of SIGHUP; `main` in program/__main__.py set a handler for SIGTERM alone. Ruled out: the shell round it, as `run` is an exec; a crash of our own, as the logs end without a fault line. Found by reading besides: EDGE_DISCOVERY stood before the file's `discovery` (read_config), so a director that had moved would never have been found. Changed: the file is read in the one place, checked whole, then compared; director and counter move, other keys are named as waiting for the next start; a faulty file is logged by key and the old one stays. Counter calls that are written end where they are, those still dialling begin anew at the new address.

--- a/scalelb/program/__main__.py
+++ b/scalelb/program/__main__.py
@@ -7,12 +7,13 @@
 import signal
 import sys
 from collections.abc import Callable, Coroutine
+from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet.error import CannotListenError
 from twisted.logger import LogEvent, LogLevel, formatEvent, globalLogBeginner
 
-from scalelb.program.config import Config, ConfigError, read_config
+from scalelb.program.config import Config, ConfigError, compare, read_config
 from scalelb.program.log import log
 from scalelb.program.loop import Loop, unix_clock
 from scalelb.protocol.agentcheck import Status
@@ -62,6 +63,7 @@
         self.cpu = 0.0
         self.tasks: set[Any] = set()
         self.status_code = 0
+        self.reread: Callable[[], Config] = lambda: read_config(again=True)
 
     def listen(self) -> None:
         """Bind the addresses."""
@@ -153,6 +155,23 @@
         self.cpu = cpu
         self.reactor.callLater(TALLY_S, self.tell)
 
+    def reload(self) -> None:
+        """SIGHUP: read the configuration anew.  All of it is checked before anything is changed; a faulty
+        one is logged by its key and the old one stays.  Director and counter move; no request is dropped."""
+        try:
+            new = self.reread()
+        except ConfigError as error:
+            self.log("configuration", level="error", what=str(error), kept=True)
+            return
+        moved, others = compare(self.config, new)
+        if "discovery" in moved:
+            self.director.move(new.director)
+        if "counter" in moved:
+            self.loop.move_counter(new.counter)
+            self.config = replace(self.config, counter=new.counter)
+        self.config = self.loop.config = replace(self.config, director=new.director)
+        self.log("reloaded", moved=moved, at_next_start=others)
+
     def stop(self) -> None:
         """SIGTERM: go on for a moment, finish what was taken, end."""
         if self.status is not Status.DRAINING:
@@ -189,6 +208,8 @@
 
 def main() -> int:
     """Run one limiter."""
+    early: list[int] = []  # guards the start: a SIGHUP that comes before anything can follow it waits
+    signal.signal(signal.SIGHUP, lambda number, _: early.append(number))
     try:
         config = read_config()
     except ConfigError as error:
@@ -213,9 +234,10 @@
         return 2
     observer: Any = observe
     globalLogBeginner.beginLoggingTo([observer], redirectStandardIO=False, discardBuffer=True)
-    run.callWhenRunning(
-        lambda: signal.signal(signal.SIGTERM, lambda *_: run.callFromThread(program.stop))
-    )
+    signals = {signal.SIGTERM: program.stop, signal.SIGHUP: program.reload}
+    for number, follow in signals.items():
+        run.callWhenRunning(signal.signal, number, lambda *_, follow=follow: run.callFromThread(follow))
+    run.callWhenRunning(lambda: program.reload() if early else None)
     gc.collect()
     gc.freeze()  # what is there now stays: it need not be looked through again
     run.run()
--- a/scalelb/program/config.py
+++ b/scalelb/program/config.py
@@ -8,7 +8,7 @@
 import os
 import tomllib
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, fields
 from enum import Enum
 from math import inf, isfinite
 from pathlib import Path
@@ -191,15 +191,19 @@
     fronts: Fronts = field(default_factory=Fronts)
 
 
-def read_config(environment: Mapping[str, str] = os.environ) -> Config:
-    """Read all of it: the environment, the file that it names, and the fronts' file."""
+def read_config(environment: Mapping[str, str] = os.environ, again: bool = False) -> Config:
+    """Read all of it: the environment, the file that it names, and the fronts' file.
+
+    When it is read `again`, the file is the newer word: a variable that was set at the start stands only for
+    what the file does not say.  Else a director that has moved could never be found.
+    """
     path = environment.get("EDGE_CONFIG", "")
     if not path:
         raise ConfigError("EDGE_CONFIG: missing; it names the configuration file")
     top = Node(_load(path), "")
     told = {"name": "EDGE_NAME", "listen": "EDGE_LISTEN", "discovery": "EDGE_DISCOVERY"}
     for key, variable in told.items():
-        if environment.get(variable):
+        if environment.get(variable) and not (again and key in top.value):
             top.value[key] = environment[variable]
     settings = top.node("settings")
     limits = settings.node("limits")
@@ -231,6 +235,21 @@
     )
 
 
+def compare(old: Config, new: Config) -> tuple[list[str], list[str]]:
+    """The keys that differ: those that a running limiter follows, and those that a start alone can change.
+
+    `seed` and `known` are for a start only and say nothing to one that runs.
+    """
+    names = {"director": "discovery", "kinds": "settings", "plans": "settings", "zones": "settings"}
+    names |= {"connect_timeout_ms": "settings", "conn_idle_ms": "settings", "requests_most": "settings"}
+    names |= {"sockets": "limits.sockets"}
+    skipped = {"seed", "known", "generation"}
+    differ = [f.name for f in fields(Config) if getattr(old, f.name) != getattr(new, f.name)]
+    follows = {"director"} | ({"counter"} if old.counter and new.counter else set())
+    moved = [names.get(name, name) for name in differ if name in follows]
+    return moved, sorted({names.get(name, name) for name in differ if name not in follows | skipped})
+
+
 def _load(path: str) -> Any:
     try:
         return orjson.loads(Path(path).read_bytes())
--- a/scalelb/program/loop.py
+++ b/scalelb/program/loop.py
@@ -107,6 +107,11 @@
 
     # The director
 
+    def move_counter(self, address: str) -> None:
+        """The counter is called elsewhere from now on; what is under way ends where it began."""
+        if self.counter is not None:
+            self.counter.move(address)
+
     def told(self, generation: int, full: bool, entries: Iterable[dict[str, Any]]) -> None:
         """The list or its changes.  A faulty entry is logged and left out; the others count."""
         infos = []
--- a/scalelb/transport/counter.py
+++ b/scalelb/transport/counter.py
@@ -18,10 +18,11 @@
 class Add:
     """One call."""
 
-    __slots__ = ("began", "late", "name", "timer", "wire")
+    __slots__ = ("amount", "began", "keep_ms", "late", "name", "timer", "wire")
 
-    def __init__(self, name: int, wire: bytes, began: float) -> None:
-        self.name, self.wire, self.began = name, wire, began
+    def __init__(self, name: int, amount: float, keep_ms: float, wire: bytes, began: float) -> None:
+        self.name, self.amount, self.keep_ms = name, amount, keep_ms
+        self.wire, self.began = wire, began
         self.late = False  # given up; its answer is dropped
         self.timer: Delay | None = None
 
@@ -30,15 +31,16 @@
     """One connection to the counter."""
 
     def __init__(self, client: CounterClient, add: Add) -> None:
-        self.client = client
+        self.client, self.address = client, client.address
         self.add: Add | None = add
         self.reader = http.ResponseReader()
-        self.written = False
+        self.up = self.written = False
         self.idle_at = 0.0
 
     def connectionMade(self) -> None:  # noqa: N802
         """The connection is up; its call goes out unless it was given up meanwhile."""
         super().connectionMade()
+        self.up = True
         if self.add is not None and not self.add.late:
             self.begin(self.add)
         else:
@@ -100,22 +102,42 @@
 
     def count(self, name: int, amount: float, keep_ms: float) -> None:
         """Add to a number; `counted` is told what became of it, in the end."""
-        add = Add(name, http.add(self.address, name, amount, keep_ms), self.clock())
+        wire = http.add(self.address, name, amount, keep_ms)
+        add = Add(name, amount, keep_ms, wire, self.clock())
         if self.idle:
             connection = self.idle.pop()
             self.out[add] = connection
             connection.begin(add)
         elif len(self.open) < CONNECTIONS_MOST:
-            connection = CounterConnection(self, add)
-            self.open.add(connection)
-            self.out[add] = connection
-            dial = Dial(connection, connection.lost)
-            self.reactor.connectTCP(self.host, self.port, dial, timeout=2 * LATE_MS / 1000)
+            self.dial(add)
         else:  # guards the counter's table: nothing was written
             self.counted(name, io.Outcome.FULL, 0.0, 0.0)
             return
         add.timer = self.reactor.callLater(self.timeout_ms / 1000, self.give_up, add)
 
+    def dial(self, add: Add) -> None:
+        """Open a connection for a call."""
+        connection = CounterConnection(self, add)
+        self.open.add(connection)
+        self.out[add] = connection
+        dial = Dial(connection, connection.lost)
+        self.reactor.connectTCP(self.host, self.port, dial, timeout=2 * LATE_MS / 1000)
+
+    def move(self, address: str) -> None:
+        """The counter has moved.  Calls that are written end where they are, as they may have been added;
+        those that wait for their connection begin anew at the new address, as the old one may refuse them."""
+        if address == self.address:
+            return
+        self.address, (self.host, self.port) = address, host_port(address)
+        idle, self.idle = self.idle, []
+        for connection in idle:
+            connection.close()
+        for add, connection in list(self.out.items()):
+            if not connection.up:
+                connection.add = None
+                add.wire = http.add(address, add.name, add.amount, add.keep_ms)
+                self.dial(add)
+
     def end(self, add: Add, outcome: io.Outcome, total: float) -> None:
         """A call has ended."""
         if self.out.pop(add, None) is not None and not add.late:
@@ -144,6 +166,9 @@
 
     def rest(self, connection: CounterConnection) -> None:
         """A connection is free."""
+        if connection.address != self.address:
+            connection.close()
+            return
         connection.idle_at = self.clock()
         self.idle.append(connection)
 
--- a/scalelb/transport/director.py
+++ b/scalelb/transport/director.py
@@ -25,7 +25,10 @@
     def connectionMade(self) -> None:  # noqa: N802
         """The connection is up."""
         super().connectionMade()
-        self.watch.ask(self)
+        if self is self.watch.connection:
+            self.watch.ask(self)
+        else:  # the director has moved while this one was coming up
+            self.abort()
 
     def rawDataReceived(self, data: bytes) -> None:  # noqa: N802
         """Bytes from the director."""
@@ -71,6 +74,8 @@
 
     def told(self, connection: DirectorConnection, response: http.Response) -> None:
         """An answer: tell what changed and ask again at once."""
+        if connection is not self.connection:  # guards the list against one that was left: its word is old
+            return
         self._heard()
         if response.status != 200:
             self.log("director", level="warning", status=response.status)
@@ -102,6 +107,17 @@
             self.reactor.callLater(self.wait_ms / 1000, self.start)
             self.wait_ms = min(AGAIN_MS[1], 2 * self.wait_ms)
 
+    def move(self, address: str) -> None:
+        """Watch at another address from now on.  Its versions may be others: the whole list is asked for, and
+        until it comes the old one serves."""
+        self.address, (self.host, self.port) = address, host_port(address)
+        self.generation, self.wait_ms = None, AGAIN_MS[0]
+        self._heard()
+        if (old := self.connection) is not None:  # else a call to the new address is under way or due
+            self.start()
+            if old.transport is not None:
+                old.abort()
+
     def stop(self) -> None:
         """Watch no longer."""
         self.stopped = True
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -57,7 +57,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.wires: dict[str, list[Wire]] = {}
-        self.names = {7000: "director", 7100: "counter"}
+        self.names = {7000: "director", 7001: "director1", 7100: "counter", 7101: "counter1"}
         self.refuse: set[str] = set()
         self.stopped = False
 
@@ -128,6 +128,13 @@
         if known:
             self.program.set_ready()
 
+    def reload(self, **changes: Any) -> None:
+        """SIGHUP, with a file that says so."""
+        config = self.program.config
+        self.program.reread = lambda: replace(config, **changes)
+        self.program.reload()
+        self.wait(0)
+
     def log(self, event: str, **fields: Any) -> None:
         self.logged.append({"event": event, **fields})
 
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -5,6 +5,8 @@
 import pytest
 from scenario import Stage, call, entry
 
+from scalelb.program.config import Config, ConfigError
+
 STORIES = {
     "ping is answered": """
         client send *1\\n$4\\nPING\\n
@@ -275,6 +277,74 @@
     stage.play("wait 2000\n director closed")
 
 
+MOVES = {
+    "the director is watched at its new address, and asked for the whole list": """
+        director closed
+        director@1 expect GET /v1/endpoints HTTP
+        director@1 send {listing(1, entry(1))}
+        director@1 expect from=1
+        client send {call(1)}
+        backend@1 expect CALL.GET
+        """,
+    "until the new director speaks, the old list serves": """
+        client send {call(1)}
+        backend expect CALL.GET
+        """,
+    "an idle counter connection is left, and a call goes to the new address": """
+        counter closed
+        client send {call(5, units=6) + call(6, units=6)}
+        counter@1 expect Host: 127.0.0.1:7101
+        """,
+}
+
+
+@pytest.mark.parametrize("name", MOVES)
+def test_sighup_moves_director_and_counter(name: str) -> None:
+    stage = Stage(backends=1)
+    stage.play("director send {listing(2, entry(0))}\n client send {call(8, units=6)}")
+    stage.play("counter expect POST\n counter send HTTP/1.1 200 OK\\nContent-Length: 1\\n\\n6\n wait 20")
+    stage.play("backend send {SERVED}\n wait 40")
+    stage.reload(director="127.0.0.1:7001", counter="127.0.0.1:7101")
+    assert stage.logged[-1] == {"event": "reloaded", "moved": ["discovery", "counter"], "at_next_start": []}
+    stage.play(MOVES[name])
+
+
+def test_sighup_drops_no_request_and_no_counter_call_under_way() -> None:
+    stage = Stage(backends=1)
+    stage.play("client send {call(1, units=6)}\n counter expect POST\n backend expect CALL.GET")
+    stage.reload(director="127.0.0.1:7001", counter="127.0.0.1:7101")
+    stage.reload(director="127.0.0.1:7000", counter="127.0.0.1:7100")  # and twice in a row
+    stage.play("counter send HTTP/1.1 200 OK\\nContent-Length: 1\\n\\n6\n wait 10")
+    assert stage.loop.core.tally["counter ok"] == 1
+    stage.play("backend send {SERVED}\n client expect $2\\nok\n director1 closed\n director2 expect GET")
+    stage.program.stop()
+    stage.play("wait 800\n client closed\n wait 50")
+    assert stage.net.stopped
+
+
+def test_a_counter_call_that_waits_for_its_connection_moves_with_the_counter() -> None:
+    stage = Stage(backends=1)
+    stage.net.refuse.add("counter")
+    stage.loop.count(7, 2.0, 1000.0)
+    stage.loop.move_counter("127.0.0.1:7101")
+    stage.play("wait 5\n counter@1 expect POST /v2/numbers/7?delta=2&life_ms=1000\n")
+    assert "counter connect failed" not in stage.loop.core.tally
+
+
+def test_a_faulty_file_is_logged_by_its_key_and_the_old_one_stays() -> None:
+    stage = Stage(backends=1)
+    before = stage.program.config
+
+    def faulty() -> Config:
+        raise ConfigError("counter: must be host:port, not 7")
+
+    stage.program.reread = faulty
+    stage.program.reload()
+    assert stage.logged[-1]["what"] == "counter: must be host:port, not 7"
+    assert stage.program.config is before
+    stage.play("director send {listing(2, entry(0))}\n director expect from=2")
+
+
 @pytest.mark.parametrize(
     "bad",
     [
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -170,6 +170,40 @@
     assert limiter.process.wait(PATIENCE) == 0
 
 
+def test_sighup_reads_the_file_anew_twice_and_sigterm_still_ends_it(
+    start: Callable[..., Limiter], backend: Backend, tmp_path: Path
+) -> None:
+    # Guards the restart-free move: SIGHUP ended the program with 129.
+    limiter = start()
+    limiter.until("ready")
+    path = tmp_path / "config.json"
+    good = json.loads(path.read_text())
+    moved = good["discovery"].replace("127.0.0.1", "localhost")
+    for change, event, told in (
+        ({"discovery": "nowhere"}, "configuration", {"what": "discovery: must be host:port, not 'nowhere'"}),
+        ({"listen": "127.0.0.1:1"}, "reloaded", {"moved": [], "at_next_start": ["listen"]}),
+        ({"discovery": moved}, "reloaded", {"moved": ["discovery"], "at_next_start": []}),
+    ):
+        path.write_text(json.dumps({**good, **change}))
+        limiter.process.send_signal(signal.SIGHUP)
+        assert told.items() <= limiter.until(event).items()
+    limiter.until("list")  # from the director under its other name
+    with limiter.client() as client:
+        client.sendall(wire(call(1, wait=60_000)))
+        assert client.recv(100) == b"$2\r\nok\r\n"
+    limiter.process.send_signal(signal.SIGTERM)
+    assert limiter.process.wait(PATIENCE) == 0
+
+
+def test_when_it_is_read_again_the_file_goes_before_the_environment(tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps({"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": SETTINGS}))
+    environment = {"EDGE_CONFIG": str(path), "EDGE_DISCOVERY": "127.0.0.1:2", "EDGE_NAME": "n4"}
+    assert read_config(environment).director == "127.0.0.1:2"
+    again = read_config(environment, again=True)
+    assert (again.director, again.name) == ("127.0.0.1:1", "n4")
+
+
 def test_the_grpc_door_opens_where_the_fronts_file_says(start: Callable[..., Limiter]) -> None:
     limiter = start(external_authorization="127.0.0.1:0")
     assert limiter.until("grpc")["listen"] == ["127.0.0.1:0"]
