--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -397,7 +397,8 @@
 
 SWAPS = {
     "d=7000": [
-        "d=0", "d=99999", "d=-5", "d= 700", "d=+700", "d=7_0", "d=nan", "d=inf", "d=1e3", "d=" + "9" * 40, "d=",
+        "d=0", "d=99999", "d=-5", "d= 700", "d=+700", "d=7_0", "d=nan", "d=inf", "d=1e3", "d=",
+        "d=" + "9" * 40,
     ],
     "units=1": [
         "units=0", "units=7", "units=-1", "units=x", "units=1e1", "units=" + "9" * 300, "unit=1",
