Keep back at most half of a burst for overdrafts, not 0.7

Checked: `_room` (control.py) lends out the burst less what all doors may overdraw, at most MARGIN_MOST of the burst; basic's burst is four dear requests, so 0.7 was the bound there and a door of four began with under one unit. The test of customers found without credit drew four samples and leant on a small store; it now looks at what is added while no credit is known, over 300 rounds, and breaks without either guard. Conclusion: the reserve was larger than the overdrafts it covers.

--- a/scalelb/routing/control.py
+++ b/scalelb/routing/control.py
@@ -17,7 +17,7 @@
 
 TURN, TURN_MS, HOUSE, HOUSE_MS = 1, 10.0, 2, 1000.0  # timers: scheduling cycle, as in the paper; ageing
 COST_WEIGHT, FLEET_WEIGHT, SERVER_WEIGHT = 0.1, 0.05, 0.2  # of the newest answer in running averages
-MARGIN, MARGIN_MOST, UNSEEN = 1.0, 0.7, 0.5  # requests a door unlent; part of the burst; unseen store
+MARGIN, MARGIN_MOST, UNSEEN = 1.0, 0.5, 0.5  # requests a door unlent; part of the burst; unseen store
 AHEAD_S, AHEAD, DEMAND_S = 1.0, 3.0, 2.0  # a block covers so much demand, or requests; memory of the demand
 THIN_S, THIN, AGAIN = 3.0, 3.0, 1.5  # a thin door asks for less in this time; its blocks
 ASK_CUT, ASK_GROW, ASK_LEAST = 0.7, 0.02, 0.03  # a crowded counter is asked less often, for more at a time
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -408,19 +408,20 @@
         d.ask("ada", doors=200)
     total = 24.0
     answer(d, total)
-    assert d.gateway.customers["ada"].broke
-    before = len(d.calls())
-    for _ in range(30):  # the others use all that comes in
+    customer = d.gateway.customers["ada"]
+    assert customer.broke
+    added = []
+    for _ in range(300):  # the others use all that comes in
         d.wait(2000.0)
+        before, broke = len(d.calls()), customer.broke
         d.ask("ada", doors=200)
         for call in d.calls()[before:]:
-            if call.name in d.gateway.calls:
-                total += call.amount + 2.0 * METERED.rate
-                d.give(io.CounterReplied(call.name, io.Outcome.OK, total, 2.0))
-    added = [a.amount for a in d.calls()[before:] if a.amount > 0]
+            added += [call.amount] * (broke and call.amount > 0)
+            total += call.amount + 2.25 * METERED.rate
+            d.give(io.CounterReplied(call.name, io.Outcome.OK, total, 2.0))
     assert added
-    assert sorted(added)[len(added) // 2] <= 2.0
-    assert len(d.sends()) < 15
+    assert max(added) <= 3.0  # itself, or that and half a request more; a block is 6
+    assert len(d.sends()) < 60, len(d.sends())
 
 
 def test_repeats_do_not_enlarge_the_blocks() -> None:
