--- a/scalelb/transport/session.py
+++ b/scalelb/transport/session.py
@@ -157,7 +157,8 @@
     def _call(self, command: resp.Command, name: bytes) -> None:
         call = resp.Call.read(command)
         if self.door.held + len(call.raw) > self.door.held_most:  # guards the memory; nothing was charged
-            self._add(Answer(resp.busy(self.door.core.settings.max_retry_after_ms)))
+            settings = self.door.core.settings
+            self._add(Answer(resp.busy(settings.max_retry_after_ms if settings.retry_after else 0.0)))
             return
         answer = Answer()
         answer.ticket = self.door.arrive(self, call, name == resp.SAFE, answer)
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -669,6 +669,9 @@
     stage.play(f"client send {{call(1, 'record-answer', key='a', body='{body}')}}\n client silent")
     stage.play(f"client2 send {{call(2, 'record-answer', key='b', body='{body}')}}")
     stage.play("client2 expect -BUSY 1000")
+    other = Stage(retry_after=False)  # where the settings allow no advice, there is none
+    other.door.held_most = 0
+    other.play("client send {call(1)}\n client expect -BUSY\\n")
     stage.play("backend send {SERVED}\n client expect $2\\nok")
     assert stage.door.held == 0
 
