--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -337,6 +337,17 @@
         assert sorted(loop.addresses) == sorted(loop.pool.backends)
 
 
+def test_a_connection_with_unread_bytes_or_no_rest_is_not_the_next() -> None:
+    # Guards the next request: what a backend wrote behind its reply may be in the kernel, or under way.
+    stage = Stage()
+    stage.play("client send {call(1) + call(2)}\n backend send {SERVED}")
+    stage.play("wait 20\n backend2 send {SERVED}")
+    stage.play("client send {call(3)}\n backend expect 0000000000000003\n backend send {SERVED}\n wait 20")
+    [backend] = stage.loop.pool.backends.values()
+    backend.idle[-1].unread = lambda: True  # type: ignore[method-assign]
+    stage.play("client send {call(4)}\n backend closed\n backend2 expect 0000000000000004")
+
+
 def test_what_waits_for_a_connection_to_a_backend_that_is_gone_is_not_written() -> None:
     stage = Stage(backends=1)
     ends: list[str] = []
