Add a fair door before the decisions, off as yet, and bound what they remember

The package scalelb/fairness holds start-time fair queuing by units, a ledger of promises, a limit on what is out learnt from latency, and compact records of customers; the core asks it where settings for a door are given (nobody does yet). The decisions keep at most 2,048 customers in full, leave a record of those they let go until the store is full again, and visit 256 in a turn of house-keeping.

--- /dev/null
+++ b/scalelb/fairness/door.py
@@ -0,0 +1,325 @@
+"""The door: in which order waiting requests meet the decisions, how much may wait, and when to come back.
+
+The host asks `arrive` for each request and does what it says; tells `sent` and `finished` of what it passed
+on; and calls `release` and `overdue` once a turn, and at `wakes_at` at the latest.  A request is answered
+once: what the door holds it either releases or gives up, never both.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from heapq import heapify, heappop, heappush
+from math import inf
+from typing import Any, NamedTuple
+
+from scalelb.fairness.limit import GradientLimit
+from scalelb.fairness.promises import Ledger
+from scalelb.fairness.queue import SLACK, Entry, FairQueue
+from scalelb.fairness.settings import DoorSettings, FlowBy
+
+STRANGERS = "\0strangers"  # the flow of all that were not seen lately; no customer is named so
+LATENCY_WEIGHT = 0.05  # of the newest answer
+ROOM = 1.25  # times the limit that may be out while nothing waits: a burst of large requests
+
+
+class Step(Enum):
+    """What becomes of a request that arrives."""
+
+    PASS = "pass"  # hand it to the decisions now
+    HOLD = "hold"  # it waits here
+    REFUSE = "refuse"  # answer it now
+
+
+class Ask(NamedTuple):
+    """One request.  `latest`: when it is to be sent at the latest, to be in time."""
+
+    ident: int
+    customer: str
+    plan: int
+    units: float
+    latest: float
+    worth: float = 1.0
+    retry: bool = False
+    client: str = ""
+    known: bool = True  # whether its customer was seen lately
+    free: bool = False  # it takes nothing from the quota: another door has counted it
+
+
+class Credit(NamedTuple):
+    """A customer's quota as the decisions see it here: units on hand less what waits, units a second."""
+
+    hand: float
+    rate: float
+
+
+@dataclass(slots=True, eq=False)
+class Held:
+    """A request that waits at the door, or behind it."""
+
+    ask: Ask
+    since: float
+    flow: str
+    item: Any = None
+    entry: Entry[Held] | None = None
+    sent: bool = False
+
+
+class Outcome(NamedTuple):
+    """What `arrive` decided; the advice in milliseconds, with a refusal."""
+
+    step: Step
+    retry_after_ms: float = 0.0
+    displaced: Held | None = None  # it held this one's place, and is to be refused in its stead
+
+
+class FairDoor:
+    """One limiter's door."""
+
+    def __init__(self, settings: DoorSettings, most_retry_after_ms: float = inf) -> None:
+        self.settings, self.most_retry_after_ms = settings, most_retry_after_ms or inf
+        self.queue: FairQueue[Held] = FairQueue()
+        self.ledger = Ledger(settings.promises_most, settings.early_ms, settings.grace_ms)
+        self.limit = GradientLimit(settings.start_units, settings.least_units, settings.most_units)
+        self.held: dict[int, Held] = {}  # at the door
+        self.inside: dict[int, Held] = {}  # passed on, not finished
+        self.waiting: dict[str, int] = {}  # by flow: passed on, not sent
+        self.latest: list[tuple[float, int]] = []  # a heap over `held`
+        self.lent: list[tuple[float, float]] = []  # a heap: admitted units, and when they count as back
+        self.out = 0.0  # units sent and not finished
+        self.latency_ms = 0.0
+        self.now = -inf
+        self.tally = {"passed": 0, "held": 0, "late": 0, "crowded": 0, "reserved": 0, "overdue": 0}
+
+    # What comes in
+
+    def arrive(self, now: float, ask: Ask, credit: Credit | None = None, item: Any = None) -> Outcome:
+        """Pass, hold or refuse one request.  O(log n), whatever waits."""
+        now = self._tick(now)
+        flow = self._flow(ask)
+        promise = None
+        if ask.retry:
+            promise = self.ledger.claim(ask.customer, now, ask.units)
+        if promise is None and self._kept(now, ask, credit):
+            self.tally["reserved"] += 1
+            return Outcome(Step.REFUSE, self._come_back(now, ask, flow, credit))
+        held = Held(ask, now, flow, item)
+        weight = self._weight(flow, ask)
+        if not self.queue and not self._waits(flow) and self._room(ask.units):
+            self.queue.charge(flow, weight, ask.units)
+            self._pass(held)
+            return Outcome(Step.PASS)
+        if now + self._wait_ms(flow, ask.units, weight) > ask.latest and promise is None:
+            self.tally["late"] += 1
+            return Outcome(Step.REFUSE, self._come_back(now, ask, flow, credit))
+        displaced = None
+        if len(self.queue) >= self.settings.held_most:
+            self.tally["crowded"] += 1
+            displaced = self._crowded(flow, ask.units, weight)
+            if displaced is None:
+                return Outcome(Step.REFUSE, self._come_back(now, ask, flow, credit))
+        held.entry = self.queue.push(
+            flow, weight, ask.units, held, -ask.worth, None if promise is None else promise.tag
+        )
+        if self._waits(flow):
+            self.queue.park(flow)
+        self.held[ask.ident] = held
+        heappush(self.latest, (ask.latest, ask.ident))
+        if len(self.latest) > 2 * len(self.held) + SLACK:
+            self.latest = [(h.ask.latest, ident) for ident, h in self.held.items()]
+            heapify(self.latest)
+        self.tally["held"] += 1
+        if displaced is not None:
+            return Outcome(Step.HOLD, self._come_back(now, displaced.ask, displaced.flow, None), displaced)
+        return Outcome(Step.HOLD)
+
+    def refused(self, now: float, ident: int, credit: Credit | None, advice_ms: float) -> float:
+        """The decisions refused what was passed on; what they advise is made a promise where it can be."""
+        held = self.inside.get(ident)
+        if held is None or credit is None or credit.rate <= 0:
+            return advice_ms
+        now = self._tick(now)
+        short = -credit.hand
+        if short + held.ask.units <= 0:  # not for the quota: the servers had no room
+            return max(advice_ms, self._come_back(now, held.ask, held.flow, None))
+        return self._come_back(now, held.ask, held.flow, credit)
+
+    def sent(self, ident: int) -> None:
+        """The first attempt of what was passed on is out."""
+        held = self.inside.get(ident)
+        if held is not None and not held.sent:
+            held.sent = True
+            self.out += held.ask.units
+            self._less_waiting(held.flow)
+
+    def admitted(self, now: float, ident: int, usual_ms: float) -> None:
+        """The asker sends it itself; it counts as out for the usual time, as nobody tells when it ends."""
+        held = self.inside.get(ident)
+        if held is not None:
+            self.out += held.ask.units
+            heappush(self.lent, (now + usual_ms, held.ask.units))
+
+    def answered(self, now: float, latency_ms: float, size: float, good: bool) -> None:
+        """An attempt ended after so long; `size` scales it to a mean request."""
+        now = self._tick(now)
+        if good:
+            weight = LATENCY_WEIGHT if self.latency_ms else 1.0
+            self.latency_ms += weight * (latency_ms - self.latency_ms)
+        self.limit.ended(now, latency_ms / max(size, 1e-6), self.out, good)
+
+    def finished(self, ident: int) -> None:
+        """What was passed on has its final answer, or its client left."""
+        held = self.inside.pop(ident, None)
+        if held is None:
+            return
+        if held.sent:
+            self.out = max(0.0, self.out - held.ask.units) if self.inside or self.lent else 0.0
+        else:
+            self._less_waiting(held.flow)
+
+    def gone(self, ident: int) -> bool:
+        """The client of a request left; whether it waited here."""
+        held = self.held.get(ident)
+        if held is not None:
+            self._drop(held)
+        return held is not None
+
+    # Once a turn
+
+    def release(self, now: float, blocked: bool = False) -> list[Held]:
+        """What is to be handed to the decisions now, in order.  `blocked`: no server has room."""
+        now = self._tick(now)
+        while self.lent and self.lent[0][0] <= now:
+            self.out = max(0.0, self.out - heappop(self.lent)[1])
+        self.ledger.lapse(now)
+        released: list[Held] = []
+        out = self.out
+        while self.queue and not (blocked and out > 0):
+            if out > 0 and out >= self.limit.limit:
+                break
+            entry = self.queue.pop()
+            if entry is None:
+                break
+            held = entry.item
+            del self.held[held.ask.ident]
+            held.entry = None
+            self._pass(held)
+            out += held.ask.units
+            released.append(held)
+            if self._waits(held.flow):
+                self.queue.park(held.flow)
+        if not self.queue:
+            self.queue.advance()
+        return released
+
+    def overdue(self, now: float) -> list[tuple[Held, float]]:
+        """What can't be in time any more, each with its advice.  It is no longer held."""
+        now = self._tick(now)
+        found = []
+        while self.latest and self.latest[0][0] < now:
+            _, ident = heappop(self.latest)
+            held = self.held.get(ident)
+            if held is not None and held.ask.latest < now:
+                self._drop(held)
+                self.tally["overdue"] += 1
+                found.append((held, self._come_back(now, held.ask, held.flow, None)))
+        return found
+
+    def wakes_at(self) -> float:
+        """When the door is to be looked at again, unless something comes in before."""
+        while self.latest and self.latest[0][1] not in self.held:
+            heappop(self.latest)
+        due = self.latest[0][0] + 1.0 if self.latest else inf
+        back = self.lent[0][0] if self.lent and self.queue else inf
+        return min(due, back)
+
+    # Inside
+
+    def _tick(self, now: float) -> float:
+        """Guards all that is reckoned by time against a clock that steps back."""
+        self.now = max(self.now, now)
+        return self.now
+
+    def _flow(self, ask: Ask) -> str:
+        if self.settings.flows is FlowBy.CLIENT and ask.client:
+            return ask.client
+        # Guards the others against whoever changes its name: all that are new share one flow.
+        return ask.customer if ask.known else STRANGERS
+
+    def _weight(self, flow: str, ask: Ask) -> float:
+        return self.settings.stranger_weight if flow == STRANGERS else self.settings.weight(ask.plan)
+
+    def _room(self, units: float) -> bool:
+        return self.out <= 0 or self.out + units <= self.limit.limit * ROOM
+
+    def _waits(self, flow: str) -> bool:
+        return self.waiting.get(flow, 0) >= self.settings.waiting_most
+
+    def _kept(self, now: float, ask: Ask, credit: Credit | None) -> bool:
+        """Whether what a newcomer asks for is promised to others of its center."""
+        if credit is None or credit.rate <= 0 or ask.free or not self.settings.reserve:
+            return False
+        due, units, last = self.ledger.owed(ask.customer, now)
+        if not units:
+            return False
+        later = credit.hand + credit.rate * max(0.0, last - now) / 1000.0 - units
+        return min(credit.hand - due, later) < ask.units
+
+    def _wait_ms(self, flow: str, units: float, weight: float) -> float:
+        """How long a request of the flow will wait: its backlog at its share of what the fleet does, at most
+        all that waits at the whole."""
+        rate = self.limit.limit / max(1.0, self.latency_ms)  # units a millisecond (Little's law)
+        mine = self.queue.flows.get(flow)
+        backlog, weights = units, self.queue.weights
+        if mine is not None:
+            backlog, weight = backlog + mine.units, mine.weight
+        else:
+            weights += weight
+        return min(backlog * weights / weight, self.queue.units + units) / rate
+
+    def _come_back(self, now: float, ask: Ask, flow: str, credit: Credit | None) -> float:
+        """When to come back: once the quota covers it, and the door's queue is through."""
+        weight = self._weight(flow, ask)
+        wait = self._wait_ms(flow, ask.units, weight) if self.queue else 0.0
+        tag = self.queue.virtual
+        if credit is None or credit.rate <= 0:
+            # A center's share of what the fleet does; what it was promised before comes first.
+            share = weight / max(weight, self.queue.weights + (flow not in self.queue.flows) * weight)
+            rate = 1000.0 * self.limit.limit / max(1.0, self.latency_ms) * share
+            short = wait * rate / 1000.0 - ask.units
+        else:
+            rate, short = credit.rate, max(-credit.hand, wait * credit.rate / 1000.0 - ask.units)
+        told, _ = self.ledger.promise(
+            ask.customer, now, ask.units, short, rate, self.most_retry_after_ms, tag
+        )
+        return told
+
+    def _crowded(self, flow: str, units: float, weight: float) -> Held | None:
+        """Who gives way where the door is full: the last of the longest flow, if that is longer than this
+        one's would be."""
+        longest, mine = self.queue.longest(), self.queue.flows.get(flow)
+        backlog = ((mine.units if mine else 0.0) + units) / weight
+        if longest is None or longest is mine or longest.units / longest.weight <= backlog:
+            return None
+        held = self.queue.last(longest).item
+        self._drop(held)
+        return held
+
+    def _pass(self, held: Held) -> None:
+        self.inside[held.ask.ident] = held
+        self.waiting[held.flow] = self.waiting.get(held.flow, 0) + 1
+        self.tally["passed"] += 1
+
+    def _less_waiting(self, flow: str) -> None:
+        left = self.waiting.get(flow, 0) - 1
+        if left > 0:
+            self.waiting[flow] = left
+        else:
+            self.waiting.pop(flow, None)
+        self.queue.unpark(flow)
+
+    def _drop(self, held: Held) -> None:
+        del self.held[held.ask.ident]
+        if held.entry is not None:
+            self.queue.remove(held.entry)
+            held.entry = None
--- /dev/null
+++ b/scalelb/fairness/promises.py
@@ -0,0 +1,124 @@
+"""The ledger of promises: who was told to come back when, and what is held back for them.
+
+A promise names a time and holds back its units for a short grace after it.  Promises of a flow follow one
+another by the rate at which credit comes, so a thousand refusals in one second are told a thousand times.
+Whoever comes back marked as a retry claims the oldest promise of its flow that is due, not one by name:
+through another limiter of its set it takes what somebody else left there.  What nobody claims goes back.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+from heapq import heappop, heappush
+from math import inf
+
+
+@dataclass(slots=True)
+class Promise:
+    """Units that a flow was promised at a time; the start tag that it had then."""
+
+    due: float
+    units: float
+    tag: float
+
+
+@dataclass(slots=True, eq=False)
+class Account:
+    """The promises of one flow, in the order of their times."""
+
+    promises: deque[Promise] = field(default_factory=deque)
+    units: float = 0.0
+
+
+@dataclass(slots=True)
+class Tally:
+    """What became of the promises."""
+
+    made: int = 0
+    claimed: int = 0
+    lapsed: int = 0
+    beyond: int = 0  # refusals whose honest time may not be said
+    full: int = 0  # refusals for which the ledger had no room
+
+
+class Ledger:
+    """All promises of one door."""
+
+    def __init__(self, most: int, early_ms: float, grace_ms: float) -> None:
+        self.most, self.early_ms, self.grace_ms = most, early_ms, grace_ms
+        self.accounts: dict[str, Account] = {}
+        self.lapses: list[tuple[float, str]] = []  # a heap: when a promise lapses, and whose it is
+        self.count = 0
+        self.tally = Tally()
+
+    def promise(
+        self, flow: str, now: float, units: float, short: float, rate: float, most_ms: float, tag: float
+    ) -> tuple[float, bool]:
+        """Name a time for so many units: once the rate (units/s) has covered what the flow is short of and
+        all that it was promised before.  Returns milliseconds and whether they are promised; beyond
+        `most_ms` that is all that may be said, and nothing is held back."""
+        account = self.accounts.get(flow)
+        owed = account.units if account else 0.0
+        wait = 1000.0 * max(0.0, short + owed + units) / rate if rate > 0 else inf
+        if account and account.promises:
+            wait = max(wait, account.promises[-1].due - now)
+        wait = max(1.0, wait)
+        if wait > most_ms:
+            self.tally.beyond += 1
+            return most_ms, False
+        if self.count >= self.most:
+            self.tally.full += 1
+            return wait, False
+        account = account or self.accounts.setdefault(flow, Account())
+        account.promises.append(Promise(now + wait, units, tag))
+        account.units += units
+        self.count += 1
+        self.tally.made += 1
+        heappush(self.lapses, (now + wait + self.grace_ms, flow))
+        return wait, True
+
+    def claim(self, flow: str, now: float, units: float) -> Promise | None:
+        """Take the oldest promise that is due and covers the units, or else the oldest that is due."""
+        account = self.accounts.get(flow)
+        if account is None or not account.promises or account.promises[0].due > now + self.early_ms:
+            return None
+        found = 0
+        for place, promise in enumerate(account.promises):
+            if promise.due > now + self.early_ms or place >= 8:
+                break
+            if promise.units >= units:
+                found = place
+                break
+        promise = account.promises[found]
+        del account.promises[found]
+        self._less(flow, account, promise)
+        self.tally.claimed += 1
+        return promise
+
+    def owed(self, flow: str, now: float) -> tuple[float, float, float]:
+        """Units that are due by now, all units promised, and when the last of them is due."""
+        account = self.accounts.get(flow)
+        if account is None or not account.promises:
+            return 0.0, 0.0, now
+        due = 0.0
+        for promise in account.promises:
+            if promise.due > now + self.early_ms:
+                break
+            due += promise.units
+        return due, account.units, account.promises[-1].due
+
+    def lapse(self, now: float) -> None:
+        """Give back what nobody claimed in time."""
+        while self.lapses and self.lapses[0][0] <= now:
+            _, flow = heappop(self.lapses)
+            account = self.accounts.get(flow)
+            while account and account.promises and account.promises[0].due + self.grace_ms <= now:
+                self._less(flow, account, account.promises.popleft())
+                self.tally.lapsed += 1
+
+    def _less(self, flow: str, account: Account, promise: Promise) -> None:
+        self.count -= 1
+        account.units -= promise.units
+        if not account.promises:
+            del self.accounts[flow]
--- /dev/null
+++ b/scalelb/fairness/settings.py
@@ -0,0 +1,53 @@
+"""What a fair door is told.  `scalelb.program.config.read_door` reads and checks it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+from math import isfinite
+
+
+class FlowBy(Enum):
+    """What makes a flow."""
+
+    CUSTOMER = "customer"  # a review center
+    CLIENT = "client"  # whoever holds the connection, under whatever names it asks
+
+
+@dataclass(frozen=True, slots=True)
+class DoorSettings:
+    """All that a door is told; units are the quotas' units, times milliseconds."""
+
+    flows: FlowBy = FlowBy.CUSTOMER
+    weights: tuple[float, ...] = ()  # by plan; empty: the plans' rates, 1 where a plan has none
+    stranger_weight: float = 8.0  # of all customers together that were not seen lately
+    held_most: int = 2048  # requests that wait at the door
+    waiting_most: int = 8  # of one flow that wait for credit or a server behind the door
+    grace_ms: float = 400.0  # that a promise is kept for after its time
+    early_ms: float = 25.0  # before its time at which a promise may be claimed: clocks and links differ
+    promises_most: int = 8192
+    reserve: bool = True  # whether promises hold back what they promise; needs clients that mark retries
+    start_units: float = 64.0  # let in at once before any answer was seen
+    least_units: float = 12.0
+    most_units: float = 4096.0
+    plan_rates: tuple[float, ...] = field(default=(), compare=False)
+
+    def __post_init__(self) -> None:
+        for name in ("stranger_weight", "grace_ms", "early_ms", "start_units", "least_units", "most_units"):
+            value = getattr(self, name)
+            if not (isfinite(value) and (value > 0 or (value == 0 and name.endswith("_ms")))):
+                raise ValueError(f"{name} must be a finite number above 0, not {value!r}")
+        for name in ("held_most", "waiting_most", "promises_most"):
+            if getattr(self, name) < 1:
+                raise ValueError(f"{name} must be at least 1, not {getattr(self, name)!r}")
+        if not self.least_units <= self.start_units <= self.most_units:
+            raise ValueError("start_units must lie between least_units and most_units")
+        for place, weight in enumerate(self.weights):
+            if not (isfinite(weight) and weight > 0):
+                raise ValueError(f"weights[{place}] must be a finite number above 0, not {weight!r}")
+
+    def weight(self, plan: int) -> float:
+        """The weight of a plan's customers."""
+        if self.weights:
+            return self.weights[plan] if plan < len(self.weights) else 1.0
+        return (self.plan_rates[plan] if plan < len(self.plan_rates) else 0.0) or 1.0
--- a/scalelb/routing/control.py
+++ b/scalelb/routing/control.py
@@ -8,16 +8,17 @@
 import random
 from collections.abc import Callable, Iterable
 from hashlib import blake2b
-from itertools import accumulate
+from itertools import accumulate, islice
 from math import exp, inf
 from typing import Any
 
+from scalelb.fairness.records import Records
 from scalelb.routing import interface as io
 from scalelb.routing.state import Attempt, Customer, Memory, Request, Server
 
 TURN, TURN_MS, HOUSE, HOUSE_MS = 1, 10.0, 2, 1000.0  # timers: scheduling cycle, as in the paper; ageing
 COST_WEIGHT, FLEET_WEIGHT, SERVER_WEIGHT = 0.1, 0.05, 0.2  # of the newest answer in running averages
-MARGIN, MARGIN_MOST, UNSEEN = 1.0, 0.5, 0.5  # requests a door unlent; part of the burst; unseen store
+UNSEEN = 0.5  # of the store, at a customer's first request where blocks would be stranded
 AHEAD_S, AHEAD, DEMAND_S = 1.0, 3.0, 2.0  # a block covers so much demand, or requests; memory of the demand
 THIN_S, THIN, AGAIN = 3.0, 3.0, 1.5  # a thin door asks for less in this time; its blocks
 ASK_CUT, ASK_GROW, ASK_LEAST = 0.7, 0.02, 0.03  # a crowded counter is asked less often, for more at a time
@@ -34,7 +35,7 @@
 CHOICES, FAR, JITTER = 8, 1.02, 0.1  # servers drawn; another zone looks slower; chance
 KEEP, SAVED, CARRIED_MS = 0.4, 0.5, 10_000.0  # of a cold server's budget; of its window; memory
 RETRY_EARN, RETRY_STORE = 0.2, 10.0  # further attempts for each first one; and in store
-KEYS_MOST = 8192  # keys remembered for the other doors
+HOT_MOST, VISITS = 2048, 256  # customers known in full; visited in one turn of house-keeping
 NEVER_RAN = (io.Outcome.FULL, io.Outcome.CONNECT_FAILED, io.Outcome.MOOT)
 
 
@@ -47,7 +48,7 @@
         for name in ("cold_from", "cold_ms", "fall_multiple", "fall_ms"):
             if not 0 < getattr(settings, name) < inf:
                 raise ValueError(f"{name} must be above 0")
-        super().__init__()
+        super().__init__(records=Records(random.Random(f"records {seed}").randbytes(16)))
         self.settings, self.aim = settings, min(kind.aim_ms for kind in settings.classes)
         self.usual, self.mean = 0.1 * self.aim, max(1.0, settings.most_units / 2)  # latency, units
         self.random, self.retries = random.Random(seed), 1.0  # further attempts in store
@@ -70,7 +71,7 @@
             self.actions.append(io.SetTimer(TURN, self.turn_at - now))
         if not self.housed and self.customers:
             self.housed = True
-            self.actions.append(io.SetTimer(HOUSE, HOUSE_MS))
+            self.actions.append(io.SetTimer(HOUSE, TURN_MS if self.unvisited else HOUSE_MS))
         return self.actions
 
     def take(self, now: float, events: Iterable[io.Event]) -> list[io.Action]:
@@ -79,10 +80,10 @@
 
     def _arrive(self, now: float, e: io.RequestArrived) -> None:
         kind, c = self.settings.classes[e.request_class], self._customer(now, e)
-        units, due = e.units or c.estimate, now + min(kind.aim_ms, e.expires_in_ms)
+        units, due = e.units or c.estimate, now + min(kind.aim_ms - e.held_ms, e.expires_in_ms)
         request = self.requests[e.request] = Request(e.request, c, kind, units, due, now)
         request.door, request.key, request.admission = 1 << e.door, e.key, e.admission
-        repeat = e.retry or e.expires_in_ms < kind.aim_ms
+        repeat = e.retry or e.expires_in_ms + e.held_ms < kind.aim_ms
         fresh = 0.0 if repeat else units / DEMAND_S  # guards the blocks against clients that repeat
         c.demand, c.seen = c.demand * exp((c.seen - now) / (1000 * DEMAND_S)) + fresh, now
         self._credit(c, now)
@@ -121,13 +122,14 @@
     def _store(self, c: Customer, now: float) -> float:
         """What the counter's last word leaves of the store for all doors, at least nothing."""
         filled = c.store + c.plan.rate * max(0.0, now - c.store_at) / 1000
-        return max(0.0, min(self._room(c), filled)) if c.window >= 0 and not self.backoff else 0.0
+        return max(0.0, min(c.room(), filled)) if c.window >= 0 and not self.backoff else 0.0
 
     def _rouse(self, c: Customer, at: float) -> None:
         self.active[c.name], c.wake, self.wake = c, min(c.wake, at), min(self.wake, at)
 
     def _customer(self, now: float, e: io.RequestArrived) -> Customer:
-        if c := self.customers.get(e.customer):
+        if c := self.customers.pop(e.customer, None):
+            self.customers[e.customer] = c  # the one that was seen last stands last
             return c
         plan, doors = self.settings.plans[e.plan], max(1, e.doors)
         place = (self.settings.index - e.first_door) % self.settings.gateways
@@ -136,13 +138,38 @@
         filled = min(plan.ceiling_burst, plan.ceiling_slack + plan.ceiling_rate * (now - self.began) / 1000)
         c = Customer(e.customer, plan, doors, at_once, filled / doors, now, self.mean)
         self.customers[e.customer] = c
-        c.balance = c.unreported = self._room(c) / doors
-        c.store = self._room(c) * (UNSEEN if self._thin(c) else 1.0)
+        c.balance = c.unreported = c.room() / doors
+        c.store = c.room() * (UNSEEN if self._thin(c) else 1.0)
+        if now < self.records.given_way_until:
+            c.balance = c.unreported = c.store = 0.0
+        c.recall(self.records.take(e.customer, now))
+        if len(self.customers) > HOT_MOST:  # guards the memory: of one that has nothing under way, a record
+            for old in list(islice(self.customers.values(), 8)):
+                self._part(old, now)
         return c
 
-    def _room(self, c: Customer) -> float:
-        """What of the burst is lent out; the rest covers the overdrafts of all doors."""
-        return c.plan.burst - min(MARGIN * (c.doors + 1) * c.estimate, MARGIN_MOST * c.plan.burst)
+    def _part(self, c: Customer, now: float) -> None:
+        """Let a customer go; a compact record of its store stays until that is full again."""
+        if not c.busy():
+            self._credit(c, now)
+            self.records.put(c.name, c.record(now), now)
+            del self.customers[c.name]
+            self.active.pop(c.name, None)
+
+    def knows(self, customer: str) -> bool:
+        """Whether a customer was seen lately."""
+        return customer in self.customers or self.records.knows(customer)
+
+    def credit(self, customer: str, now: float) -> tuple[float, float] | None:
+        """Units on hand here less what waits, with this door's share of what the counter told is left, and
+        this door's share of the rate, units/s; nothing of one that is not known or has no quota."""
+        if (c := self.customers.get(customer)) is None or not c.plan.rate:
+            return None
+        return c.balance + max(c.block, self._store(c, now) / c.doors) - c.queued, c.plan.rate / c.doors
+
+    def need(self, kind: io.RequestClass) -> float:
+        """Milliseconds of the aim that must be left when a request is sent."""
+        return min(NEED * self.usual, NEED_MOST * kind.aim_ms)
 
     def _credit(self, c: Customer, now: float) -> None:
         """Credit rate times cycle from the block; this door's share of it while the counter is silent."""
@@ -152,7 +179,7 @@
         part = min(c.block, plan.rate * max(0.0, min(elapsed, now - c.ready)) / 1000)
         c.block, c.balance = c.block - part, c.balance + part
         if self.backoff or not self.settings.counter:
-            share = max(0.0, min(plan.rate * elapsed / 1000, self._room(c) - c.balance * c.doors) / c.doors)
+            share = max(0.0, min(plan.rate * elapsed / 1000, c.room() - c.balance * c.doors) / c.doors)
             c.balance, c.unreported, c.blind = c.balance + share, c.unreported + share, c.blind + share
         filled = c.ceiling + plan.ceiling_rate * (now - c.ceiling_at) / 1000 / c.doors
         c.ceiling, c.ceiling_at = min(plan.ceiling_burst / c.doors, filled), now
@@ -223,7 +250,7 @@
         return min(blind, leased, ask, soft, back, self._latest(request))
 
     def _latest(self, request: Request) -> float:
-        return request.due - min(NEED * self.usual, NEED_MOST * request.kind.aim_ms)
+        return request.due - self.need(request.kind)
 
     def _unqueue(self, request: Request) -> None:
         if request in (c := request.customer).queue:
@@ -240,22 +267,28 @@
                     self._unqueue(request)
 
     def _keep_house(self, now: float) -> None:
-        self.housed, self.spare, self.open = False, 0.0, min(1.0, self.open * REOPEN)
-        if self.cold:
-            self._rank(now)
-        for name, c in list(self.calls.items()):
-            if now - c.called > CALL_AGE * self.settings.counter_timeout_ms + HOUSE_MS:  # guards: none comes
-                self._replied(now, io.CounterReplied(name, io.Outcome.TIMEOUT, 0.0, now - c.called))
-        for c in list(self.customers.values()):
+        self.housed = False
+        if not self.unvisited:
+            self.spare, self.open = 0.0, min(1.0, self.open * REOPEN)
+            if self.cold:
+                self._rank(now)
+            for name, c in list(self.calls.items()):
+                if now - c.called > CALL_AGE * self.settings.counter_timeout_ms + HOUSE_MS:  # none comes
+                    self._replied(now, io.CounterReplied(name, io.Outcome.TIMEOUT, 0.0, now - c.called))
+            self.unvisited = list(self.customers.values())
+        some, self.unvisited = self.unvisited[:VISITS], self.unvisited[VISITS:]  # guards the others' turn
+        self.records.sweep(now, 16 * VISITS)
+        for c in some:
+            if self.customers.get(c.name) is not c:
+                continue
             if c.lent:
                 self._credit(c, now)
             idle = now - c.seen
             self.spare += max(0.0, c.balance) * (not c.queue)
             if idle > IDLE_MS and c.balance > c.estimate and c.window >= 0:
                 self._call(c, now, -c.balance)
-            if idle > FORGET_MS and not (c.queue or c.out or c.calling):
-                del self.customers[c.name]
-                self.active.pop(c.name, None)
+            if idle > FORGET_MS:
+                self._part(c, now)
 
     def _send(self, request: Request, now: float, charge: bool = True) -> bool:
         """Send to the best server; False where none has room or the ceiling is reached."""
@@ -282,23 +315,16 @@
 
     def _charge(self, request: Request, now: float, charge: bool) -> None:
         """Take a try's units, whole; a keyed one that another door has counted takes none."""
-        c, name = request.customer, (request.customer.name, request.key)
-        if counted := self._counted(request):
-            until, doors = self.keys[name]
-            self.keys[name] = until, doors | request.door
-        elif request.key:
-            self.keys.pop(name, None)
-            if len(self.keys) >= KEYS_MOST:  # guards the memory: the oldest goes
-                del self.keys[next(iter(self.keys))]
-            self.keys[name] = now + request.kind.window_ms, request.door
+        c, counted = request.customer, self._counted(request)
+        if request.key:
+            self.keys.count(c.name, request.key, request.door, now, request.kind.window_ms)
         c.ceiling -= 0.0 if counted else request.units
         request.charged = 0.0 if counted else request.units * charge
         c.balance -= request.charged
 
     def _counted(self, request: Request) -> bool:
         """Whether another door has counted a try with this key, and this door none since."""
-        until, doors = self.keys.get((request.customer.name, request.key), (0.0, 0))
-        return self.now < until and not doors & request.door
+        return self.keys.counted(request.customer.name, request.key, request.door, self.now)
 
     def _admitted(self, request: Request, now: float, charge: bool) -> bool:
         """Let the asker send it: charged like any other, and taken to be out for the usual time."""
@@ -440,9 +466,9 @@
         if not rate or (covered and abs(c.unreported) < c.estimate):
             return
         ahead = 0.0 if thin else max(AHEAD * c.estimate, c.demand * AHEAD_S)
-        ask = max(0.0, c.queued + min(ahead, max(self._room(c) / c.doors, c.estimate)) - hand) * (not covered)
+        ask = max(0.0, c.queued + min(ahead, max(c.room() / c.doors, c.estimate)) - hand) * (not covered)
         if c.window >= 0:
-            store = min(self._room(c), c.store + rate * (now - c.store_at) / 1000)
+            store = min(c.room(), c.store + rate * (now - c.store_at) / 1000)
             ask = max(0.0, min(ask, store + rate * HOLD * self.aim / 1000))
             if ask < min(c.estimate, c.queued - hand if thin else inf) and abs(c.unreported) < c.estimate:
                 return
@@ -455,7 +481,7 @@
             return
         if window != c.window:
             began = window * WINDOW_MS
-            c.store = min(self._room(c), c.store + c.plan.rate * max(0.0, began - c.store_at) / 1000)
+            c.store = min(c.room(), c.store + c.plan.rate * max(0.0, began - c.store_at) / 1000)
             c.window, c.total, c.store_at = window, 0.0, began
         name = int.from_bytes(blake2b(f"{c.name} {window}".encode(), digest_size=7).digest(), "big")
         c.calling, c.called, c.amount, c.asked = True, now, c.unreported + ask, ask
@@ -485,7 +511,7 @@
         # meanwhile.  Taken from a store that is full again instead, seconds of good credit were refused.
         blind, c.blind = max(0.0, min(c.blind, c.amount - c.asked)), 0.0
         filled = c.store + c.plan.rate * max(0.0, now - c.store_at) / 1000 - others - blind
-        c.store, c.store_at, c.total = min(self._room(c), filled) - (c.amount - blind), now, total
+        c.store, c.store_at, c.total = min(c.room(), filled) - (c.amount - blind), now, total
         # Kept: what rate times window plus burst covers, or will cover in time; the rest goes back.
         c.broke, short = c.store < 0, min(max(0.0, c.asked), max(0.0, -c.store))
         back = min(short, max(0.0, -c.store - c.plan.rate * HOLD * self.aim / 1000))
--- a/scalelb/routing/core.py
+++ b/scalelb/routing/core.py
@@ -8,16 +8,19 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
-from heapq import heappop, heappush
+from heapq import heapify, heappop, heappush
 from math import inf, isfinite
 from typing import Any, Protocol
 
+from scalelb.fairness import Ask, Credit, DoorSettings, FairDoor, Step
 from scalelb.routing import interface as io
 from scalelb.routing.control import Gateway
 
-TIMER, EXPIRY, OVERFULL = -1, -2, -3  # marks of timers; from 0 on: an attempt's patience
+TIMER, EXPIRY, OVERFULL, LOOK = -1, -2, -3, -4  # marks of timers; from 0 on: an attempt's patience
+TIMERS_LEAST = 256  # that are kept however few requests are open
+JUDGED = (io.Outcome.OK, io.Outcome.FULL, io.Outcome.TIMEOUT)  # outcomes that tell of load
 NO_REPORT: Mapping[str, float] = {}
 
 
@@ -57,11 +60,14 @@
     """A request that a front has taken."""
 
     __slots__ = (
-        "attempt", "caller", "done", "expires", "handle", "ident", "out", "payload", "sent", "server",
+        "attempt", "caller", "client", "done", "expires", "handle", "ident", "out", "payload", "sent",
+        "server", "size",
     )  # fmt: skip
 
     def __init__(self, ident: int, caller: Caller, payload: Any, expires: float) -> None:
         self.ident, self.caller, self.payload, self.expires = ident, caller, payload, expires
+        self.client = ""  # whose connection it came by
+        self.size = 1.0  # how long it takes, against a mean request
         self.attempt = -1  # the newest
         self.out = False  # whether it is out
         self.sent = 0.0  # when it began
@@ -103,10 +109,14 @@
         clock: Callable[[], float],
         limits: Limits = Limits(),
         fault: Callable[[Exception], None] = lambda error: None,
+        door: DoorSettings | None = None,
     ) -> None:
         self.fault = fault
         self.settings, self.ports, self.clock, self.limits = settings, ports, clock, limits
         self.gateway = Gateway(settings, seed)
+        most = settings.max_retry_after_ms if settings.retry_after else 1.0
+        self.door = FairDoor(door, most) if door is not None else None
+        self.looks_at = inf  # when the door is looked at next
         self.inbox: list[io.Event] = [io.Started()]
         self.tickets: dict[int, Ticket] = {}
         self.timers: list[tuple[float, int, int, int]] = []  # when, order, tag or ident, attempt or a mark
@@ -132,17 +142,20 @@
         door: int = 0,
         key: str = "",
         admission: bool = False,
+        client: str = "",
     ) -> Ticket:
         """Take a request; its caller is told the answer later, never during this call.
 
         With `admission` the caller does the sending itself: a good answer is `ADMITTED`, and nothing is
-        fetched.  `key` is needed only where the same request may come through another `door`.
+        fetched.  `key` is needed only where the same request may come through another `door`.  `client` names
+        whoever holds the connection, for a door that is fair by client.
         """
         self._check(plan, kind, expires_ms, units, doors, first_door)
         now = self.clock()
         self.idents += 1
         left = max(0.0, expires_ms - self.limits.transit_ms - self.limits.margin_ms)
         ticket = Ticket(self.idents, caller, payload, now + left)
+        ticket.client = client
         self.tickets[ticket.ident] = ticket
         self._timer(ticket.expires, ticket.ident, EXPIRY)
         if len(self.tickets) > self.limits.requests:  # guards the memory; nothing of it was looked at
@@ -177,7 +190,8 @@
         if not ticket.done:
             self._close(ticket)
             self._note("gone")
-            self.inbox.append(io.RequestGone(ticket.ident))
+            if self.door is None or not self.door.gone(ticket.ident):
+                self.inbox.append(io.RequestGone(ticket.ident))
             self._soon()
 
     def fetched(
@@ -224,17 +238,16 @@
         now = self.clock()
         expired = self._due(now)
         events, self.inbox = self.inbox, []
-        try:
-            for action in self.gateway.take(now, events):
-                self._carry_out(action, now)
-        except Exception as error:  # guards all other requests, and the timers, against a fault with one
-            self._note("fault")
-            self.fault(error)
+        if self.door is None:
+            self._decide(events, now)
+        else:
+            self._decide_fairly(self.door, events, now)
         for ticket in expired:
             # Guards the rule of one final answer, should the decisions have left a request unanswered.
             if not ticket.done and not ticket.out:
                 self._answer(ticket, Verdict.FAILED)
-                self.inbox.append(io.RequestGone(ticket.ident))
+                if self.door is None or not self.door.gone(ticket.ident):
+                    self.inbox.append(io.RequestGone(ticket.ident))
                 self._note("overdue")
         if self.inbox:
             self._soon()
@@ -242,13 +255,89 @@
         # Guards the processor: most requests end before their timers, which need not wake anybody then.
         while self.timers and self._moot(self.timers[0]):
             heappop(self.timers)
+        self._sweep()
         if self.timers and self.timers[0][0] < self.woken:
             self.woken = self.timers[0][0]
             self.ports.wake(self.woken)
 
+    def _decide(self, events: list[io.Event], now: float) -> None:
+        """Hand events to the decisions and carry out what they return."""
+        try:
+            for action in self.gateway.take(now, events):
+                self._carry_out(action, now)
+        except Exception as error:  # guards all other requests, and the timers, against a fault with one
+            self._note("fault")
+            self.fault(error)
+
+    def _decide_fairly(self, door: FairDoor, events: list[io.Event], now: float) -> None:
+        """What ended comes first, then who waits, in the door's order, then who arrives."""
+        arrivals = [event for event in events if isinstance(event, io.RequestArrived)]
+        self._decide([event for event in events if not isinstance(event, io.RequestArrived)], now)
+        for held, advice in door.overdue(now):
+            self._turn_away(held.ask.ident, advice)
+        self._release(door, now)
+        for event in arrivals:
+            self._let_in(door, event, now)
+        self._release(door, now)
+        if (at := door.wakes_at()) < inf and not now < self.looks_at <= at:
+            self.looks_at = at
+            self._timer(at, 0, LOOK)
+
+    def _release(self, door: FairDoor, now: float) -> None:
+        while released := door.release(now, self.gateway.blocked):  # ends: the door empties
+            events: list[io.Event] = []
+            for held in released:
+                waited = now - held.since
+                event: io.RequestArrived = held.item
+                left = event.expires_in_ms - waited
+                events.append(replace(event, held_ms=waited, expires_in_ms=left))
+            self._decide(events, now)
+
+    def _let_in(self, door: FairDoor, event: io.RequestArrived, now: float) -> None:
+        """Ask the door about one that arrives; it may give another's place to it."""
+        kind, gateway = self.settings.classes[event.request_class], self.gateway
+        ticket = self.tickets.get(event.request)
+        if ticket is None or ticket.done:
+            return
+        due = now + min(kind.aim_ms, event.expires_in_ms)
+        told = gateway.credit(event.customer, now)
+        credit = Credit(*told) if told is not None else None
+        ask = Ask(
+            ident=event.request,
+            customer=event.customer,
+            plan=event.plan,
+            units=event.units,
+            latest=due - gateway.need(kind),
+            worth=kind.worth,
+            retry=event.retry,
+            client=ticket.client,
+            known=gateway.knows(event.customer),
+            free=gateway.keys.counted(event.customer, event.key, 1 << event.door, now),
+        )
+        ticket.size = 0.5 + 0.5 * event.units / gateway.mean
+        step, advice, displaced = door.arrive(now, ask, credit, event)
+        if displaced is not None:
+            self._turn_away(displaced.ask.ident, advice)
+        if step is Step.PASS:
+            self._decide([event], now)
+        elif step is Step.REFUSE:
+            self._turn_away(event.request, advice)
+
+    def _turn_away(self, ident: int, advice: float) -> None:
+        """Refuse what never met the decisions: nothing of it was charged or sent."""
+        self._note("turned away")
+        self._final(ident, Verdict.REFUSED, advice if self.settings.retry_after else 0.0)
+
+    def _sweep(self) -> None:
+        """Guards the memory: where most timers are of requests long answered, those go."""
+        live = 3 * len(self.tickets) + TIMERS_LEAST
+        if len(self.timers) > 2 * live:
+            self.timers = [timer for timer in self.timers if not self._moot(timer)]
+            heapify(self.timers)
+
     def _moot(self, timer: tuple[float, int, int, int]) -> bool:
         _, _, name, mark = timer
-        if mark == TIMER:
+        if mark in (TIMER, LOOK):
             return False
         ticket = self.tickets.get(name)
         return ticket is None or (mark >= 0 and not (ticket.out and ticket.attempt == mark))
@@ -260,6 +349,8 @@
             _, _, name, mark = heappop(self.timers)
             if mark == TIMER:
                 self.inbox.append(io.TimerFired(name))
+            elif mark == LOOK:
+                self.looks_at = inf
             elif (ticket := self.tickets.get(name)) is None:
                 continue
             elif mark == OVERFULL:
@@ -280,9 +371,11 @@
         elif isinstance(action, io.SendAttempt):
             self._send(action, now)
         elif isinstance(action, io.Admit):
+            if self.door is not None:
+                self.door.admitted(now, action.request, self.gateway.usual)
             self._final(action.request, Verdict.ADMITTED)
         elif isinstance(action, io.Refuse):
-            self._final(action.request, Verdict.REFUSED, action.retry_after_ms)
+            self._final(action.request, Verdict.REFUSED, self._advice(action, now))
         elif isinstance(action, io.Fail):
             self._final(action.request, Verdict.FAILED)
         elif isinstance(action, io.AddToCounter):
@@ -294,6 +387,14 @@
         elif isinstance(action, io.ProbeServer):
             self.ports.probe(action.server)
 
+    def _advice(self, action: io.Refuse, now: float) -> float:
+        """When to come back: where there is a door, it makes a promise of what the decisions advise."""
+        if self.door is None or not self.settings.retry_after or action.request not in self.door.inside:
+            return action.retry_after_ms
+        told = self.gateway.credit(self.door.inside[action.request].ask.customer, now)
+        credit = Credit(*told) if told is not None else None
+        return self.door.refused(now, action.request, credit, action.retry_after_ms)
+
     def _send(self, action: io.SendAttempt, now: float) -> None:
         ticket = self.tickets.get(action.request)
         if ticket is None or ticket.out:  # ended while the decisions were made: never sent
@@ -309,6 +410,8 @@
             self._timer(now + patience, ticket.ident, ticket.attempt)
         ticket.out = True
         self._note("fetches")
+        if self.door is not None:
+            self.door.sent(ticket.ident)
         self.ports.fetch(ticket, action.server, patience)
 
     def _give_up(self, ticket: Ticket, outcome: io.Outcome) -> None:
@@ -325,6 +428,8 @@
         units: float = 0.0,
     ) -> None:
         elapsed = self.clock() - ticket.sent
+        if self.door is not None and outcome in JUDGED:
+            self.door.answered(self.clock(), elapsed, ticket.size, outcome is io.Outcome.OK)
         self.inbox.append(
             io.AttemptEnded(
                 ticket.ident, ticket.attempt, ticket.server, outcome, elapsed, ticket.done, units, report
@@ -349,6 +454,8 @@
     def _close(self, ticket: Ticket) -> None:
         """The request is finished; its ticket stays while an attempt is out."""
         ticket.done = True
+        if self.door is not None:
+            self.door.finished(ticket.ident)
         if not ticket.out:
             self.tickets.pop(ticket.ident, None)
 
--- a/scalelb/routing/interface.py
+++ b/scalelb/routing/interface.py
@@ -149,6 +149,7 @@
     door: int = 0  # which of the gateway's own doors it came through
     key: str = ""  # by which its tries are known at the other doors; empty: not to be remembered
     admission: bool = False  # only asked for: whoever asks does the sending
+    held_ms: float = 0.0  # how long it has waited at the door before
 
 
 @dataclass(frozen=True, slots=True)
--- a/scalelb/routing/state.py
+++ b/scalelb/routing/state.py
@@ -5,7 +5,11 @@
 from dataclasses import dataclass, field
 from math import inf
 
+from scalelb.fairness.records import Record, Records
 from scalelb.routing import interface as io
+from scalelb.routing.keys import Keys
+
+MARGIN, MARGIN_MOST = 1.0, 0.5  # requests that a door keeps unlent; at most this part of the burst
 
 
 @dataclass(slots=True, eq=False)
@@ -67,6 +71,36 @@
     def __post_init__(self) -> None:
         self.credited = self.ceiling_at = self.seen
 
+    def busy(self) -> bool:
+        """Whether something of it is under way, so that it can't be let go."""
+        return bool(self.queue or self.out or self.calling)
+
+    def record(self, now: float) -> Record:
+        """What is to be kept of it.  Its store is full again once the rate has covered what is missing,
+        by the counter's last word and by what this door has on hand."""
+        rate, room = self.plan.rate, self.room()
+        told = min(room, self.store + rate * max(0.0, now - self.store_at) / 1000) - max(0.0, self.unreported)
+        missing = room - min(told, (self.balance + self.block) * self.doors)
+        full_at = now + 1000 * max(0.0, missing) / rate if rate else now
+        if self.plan.ceiling_rate:
+            below = self.plan.ceiling_burst - self.ceiling * self.doors
+            full_at = max(full_at, now + 1000 * max(0.0, below) / self.plan.ceiling_rate)
+        balance = self.balance + self.block
+        return Record(balance, self.unreported, told, self.total, self.window, now, full_at)
+
+    def room(self) -> float:
+        """What of the burst is lent out; the rest covers the overdrafts of all doors."""
+        return self.plan.burst - min(MARGIN * (self.doors + 1) * self.estimate, MARGIN_MOST * self.plan.burst)
+
+    def recall(self, record: Record | None) -> None:
+        """Go on where the record ends, if there is one."""
+        if record is None:
+            return
+        self.balance, self.unreported, self.store = record.balance, record.unreported, record.store
+        self.total, self.window, self.store_at = record.total, record.window, record.at
+        self.credited = self.ceiling_at = record.at
+        self.ceiling = 0.0
+
 
 @dataclass(slots=True, eq=False)
 class Server:
@@ -115,7 +149,9 @@
     requests: dict[int, Request] = field(default_factory=dict)
     attempts: dict[tuple[int, int], Attempt] = field(default_factory=dict)
     calls: dict[int, Customer] = field(default_factory=dict)  # counter calls in flight
-    keys: dict[tuple[str, str], tuple[float, int]] = field(default_factory=dict)  # until, doors
+    records: Records = field(default_factory=lambda: Records(b""))  # of customers that were let go
+    unvisited: list[Customer] = field(default_factory=list)  # in this round of house-keeping
+    keys: Keys = field(default_factory=Keys)  # counted for the other doors
     backoff: float = 0.0
     call_at: float = 0.0  # no counter call before
     spare: float = 0.0  # units of quiet customers
--- a/tests/test_authorization.py
+++ b/tests/test_authorization.py
@@ -297,8 +297,8 @@
                 assert answer.status.code == code_pb2.OK
             else:
                 through_platform(g.back, "k1")
-        gateway, ada = g.back.core.gateway, g.back.core.gateway.customers[ADA]
-        charged = gateway._room(ada) / ada.doors - ada.balance  # time stands still: no credit came in
+        ada = g.back.core.gateway.customers[ADA]
+        charged = ada.room() / ada.doors - ada.balance  # time stands still: no credit came in
         assert charged == 2.0 * counted
 
     play(story, Backside(replace(SITE, plans=(io.Plan(rate=4.0, burst=100.0),))))
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -12,7 +12,8 @@
 ROOT = Path(__file__).parent.parent
 SOURCES = sorted((ROOT / "scalelb").rglob("*.py"))
 MAY_USE = {
-    "routing": {"routing"},
+    "fairness": {"fairness"},
+    "routing": {"fairness", "routing"},
     "protocol": {"protocol"},
     "transport": {"routing", "protocol", "transport"},
     "middleware": {"routing", "protocol", "middleware"},
@@ -20,7 +21,11 @@
     "wirehost": {"routing", "program", "wirehost"},
     "__init__": {"routing"},
 }
-FOREIGN = {"routing": {"twisted", "socket", "grpc", "httptools", "orjson"}, "protocol": {"twisted", "socket"}}
+FOREIGN = {
+    "fairness": {"twisted", "socket", "grpc", "httptools", "orjson", "time", "random"},
+    "routing": {"twisted", "socket", "grpc", "httptools", "orjson"},
+    "protocol": {"twisted", "socket"},
+}
 
 
 def imported(path: Path) -> set[str]:
