--- a/scalelb/fairness/door.py
+++ b/scalelb/fairness/door.py
@@ -20,7 +20,7 @@
 
 STRANGERS = "\0strangers"  # the flow of all that were not seen lately; no customer is named so
 LATENCY_WEIGHT = 0.05  # of the newest answer
-ROOM = 1.25  # times the limit that may be out while nothing waits: a burst of large requests
+SPARSE = 2.0  # times the limit that may be out where a flow asks that has had less than its share
 
 
 class Step(Enum):
@@ -80,7 +80,9 @@
         self.settings, self.most_retry_after_ms = settings, most_retry_after_ms or inf
         self.queue: FairQueue[Held] = FairQueue()
         self.ledger = Ledger(settings.promises_most, settings.early_ms, settings.grace_ms)
-        self.limit = GradientLimit(settings.start_units, settings.least_units, settings.most_units)
+        self.limit = GradientLimit(
+            settings.start_units, settings.least_units, settings.most_units, settings.tolerance
+        )
         self.held: dict[int, Held] = {}  # at the door
         self.inside: dict[int, Held] = {}  # passed on, not finished
         self.waiting: dict[str, int] = {}  # by flow: passed on, not sent
@@ -105,7 +107,8 @@
             return Outcome(Step.REFUSE, self._come_back(now, ask, flow, credit))
         held = Held(ask, now, flow, item)
         weight = self._weight(flow, ask)
-        if not self.queue and not self._waits(flow) and self._room(ask.units):
+        sparse = flow not in self.queue.flows and self.queue.behind(flow)
+        if (sparse or not self.queue) and not self._waits(flow) and self._room(ask.units, sparse):
             self.queue.charge(flow, weight, ask.units)
             self._pass(held)
             return Outcome(Step.PASS)
@@ -159,13 +162,16 @@
             self.out += held.ask.units
             heappush(self.lent, (now + usual_ms, held.ask.units))
 
-    def answered(self, now: float, latency_ms: float, size: float, good: bool) -> None:
-        """An attempt ended after so long; `size` scales it to a mean request."""
+    def answered(
+        self, now: float, server: str, latency_ms: float, size: float, load: float, good: bool
+    ) -> None:
+        """An attempt at a server ended after so long; `size` scales it to a mean request, `load` is what the
+        server had of this limiter when it was sent."""
         now = self._tick(now)
         if good:
             weight = LATENCY_WEIGHT if self.latency_ms else 1.0
             self.latency_ms += weight * (latency_ms - self.latency_ms)
-        self.limit.ended(now, latency_ms / max(size, 1e-6), self.out, good)
+        self.limit.ended(now, server, latency_ms / max(size, 1e-6), load, self.out, good)
 
     def finished(self, ident: int) -> None:
         """What was passed on has its final answer, or its client left."""
@@ -233,6 +239,25 @@
         back = self.lent[0][0] if self.lent and self.queue else inf
         return min(due, back)
 
+    def told(self) -> dict[str, object]:
+        """For the log: what waits and what is promised now, and counts since the last time."""
+        ledger = self.ledger
+        found: dict[str, object] = {
+            "door": {
+                "held": len(self.queue),
+                "flows": len(self.queue.flows),
+                "out_units": round(self.out, 1),
+                "limit_units": round(self.limit.limit, 1),
+                "stretch": round(self.limit.stretch, 2),
+                "promised": ledger.count,
+                **{name: count for name, count in self.tally.items() if count},
+            },
+            "promises": {name: count for name, count in ledger.tally.items() if count},
+        }
+        self.tally = dict.fromkeys(self.tally, 0)
+        ledger.tally = dict.fromkeys(ledger.tally, 0)
+        return found
+
     # Inside
 
     def _tick(self, now: float) -> float:
@@ -249,8 +274,8 @@
     def _weight(self, flow: str, ask: Ask) -> float:
         return self.settings.stranger_weight if flow == STRANGERS else self.settings.weight(ask.plan)
 
-    def _room(self, units: float) -> bool:
-        return self.out <= 0 or self.out + units <= self.limit.limit * ROOM
+    def _room(self, units: float, sparse: bool) -> bool:
+        return self.out <= 0 or self.out + units <= self.limit.limit * (SPARSE if sparse else 1.0)
 
     def _waits(self, flow: str) -> bool:
         return self.waiting.get(flow, 0) >= self.settings.waiting_most
--- a/scalelb/fairness/limit.py
+++ b/scalelb/fairness/limit.py
@@ -1,49 +1,69 @@
 """How much is let in at once, learnt from the fleet's answers, so that the queue forms at the door.
 
-The gradient of latency decides (after "gradient2" of adaptive concurrency limiters): while answers take as
-long as they usually do when little is out, the limit grows by the root of itself; as they take longer it
-shrinks in proportion.  AIMD and Vegas were weighed beside it (`docs/fairness.md`, `scalelb/lab/rivals.py`).
+The gradient of latency decides (after "gradient2" of adaptive concurrency limiters): each answer's latency
+is held against what that same server takes at ease, with next to nothing else there.  Against one base for
+the whole fleet a limit is strangled as soon as slower servers come into use (`docs/fairness.md` has the
+figures, and those of AIMD and Vegas).  While answers take little longer than at ease, the limit grows by
+its root; as they take longer it shrinks in proportion.  It is reckoned anew once in the time that an answer
+takes: what is let in now tells only then.
 """
 
 from __future__ import annotations
 
-from math import exp, sqrt
+from math import sqrt
 
-TOLERANCE = 1.3  # latency over the base that is still at ease
-FAST_MS, SLOW_MS = 250.0, 20_000.0  # memories of the latency now and of the base
-SMOOTH = 0.1  # of each new reckoning
-FAILED_CUT, CUT_EVERY_MS = 0.95, 50.0  # of the limit at a time-out or a full server
-RISE_MS = 30_000.0  # in which a base that is too low comes up to what is seen
+ROUND_MS = 50.0  # the least time, and
+ROUND = 8  # the least answers, between two reckonings
+AT_EASE = 1.0  # load of a server, with the request, up to which it is at ease
+BASE_WEIGHT = 0.1  # of the newest answer at ease
+DOWN = 0.5  # of the way down in one reckoning
+FAILED_CUT = 0.9  # of the limit, in a round with a time-out or a full server
+SERVERS_MOST = 1024  # whose base is remembered
 
 
 class GradientLimit:
     """A limit in units on what is out at once."""
 
-    def __init__(self, start: float, least: float, most: float) -> None:
+    def __init__(self, start: float, least: float, most: float, tolerance: float) -> None:
         self.limit, self.least, self.most = start, least, most
-        self.now_ms = self.base_ms = 0.0  # latency of a mean request lately, and at ease
-        self.at = self.cut_at = 0.0
-
-    def ended(self, now: float, latency_ms: float, out: float, good: bool) -> None:
-        """One answer.  `latency_ms` is scaled to a mean request, `out` the units that were out with it."""
-        if not good:
-            if now - self.cut_at >= CUT_EVERY_MS:
-                self.limit, self.cut_at = max(self.least, self.limit * FAILED_CUT), now
-            return
-        passed, self.at = max(0.0, now - self.at), now
-        if not self.base_ms:
-            self.now_ms = self.base_ms = latency_ms
-            return
-        weight = 1.0 - exp(-max(passed, 1.0) / FAST_MS)
-        self.now_ms += weight * (latency_ms - self.now_ms)
-        # The base follows what is quick at once, what is slow over half a minute.
-        if self.now_ms < self.base_ms:
-            self.base_ms += (1.0 - exp(-max(passed, 1.0) / 1000.0)) * (self.now_ms - self.base_ms)
-        else:
-            self.base_ms += (1.0 - exp(-passed / RISE_MS)) * (self.now_ms - self.base_ms)
-        gradient = max(0.5, min(1.0, TOLERANCE * self.base_ms / max(self.now_ms, 1e-9)))
-        if gradient >= 1.0 and out < self.limit / 2:  # guards the limit: nothing was learnt about more
+        self.tolerance = tolerance  # times what it takes at ease: up to there the limit grows
+        self.bases: dict[str, float] = {}  # by server, for a mean request; what was set last stands last
+        self.stretch = 1.0  # how much longer answers took than at ease, in the last round
+        self.began = 0.0  # when this round did
+        self.count = self.failed = 0
+        self.stretches = self.latencies = self.out_most = 0.0
+
+    def ended(
+        self, now: float, server: str, latency_ms: float, load: float, out: float, good: bool
+    ) -> None:
+        """One answer.  `latency_ms` is scaled to a mean request; `load` is what the server had of us when it
+        was sent, in mean requests, with it; `out` the units out now."""
+        base = self.bases.get(server)
+        if good and load <= AT_EASE:
+            self.bases.pop(server, None)
+            base = latency_ms if base is None else base + BASE_WEIGHT * (latency_ms - base)
+            self.bases[server] = base
+            if len(self.bases) > SERVERS_MOST:  # guards the memory: servers come and go
+                del self.bases[next(iter(self.bases))]
+        self.out_most = max(self.out_most, out)
+        self.failed += not good
+        if good and base is not None:
+            self.count += 1
+            self.stretches += latency_ms / max(base, 1e-9)
+            self.latencies += latency_ms
+        enough = self.count >= ROUND or (self.failed and not self.count)
+        usual = self.latencies / self.count if self.count else 0.0
+        if enough and now - self.began >= max(ROUND_MS, usual):
+            self._reckon()
+            self.began, self.count, self.failed = now, 0, 0
+            self.stretches = self.latencies = self.out_most = 0.0
+
+    def _reckon(self) -> None:
+        if self.count:
+            self.stretch = self.stretches / self.count
+        gradient = max(0.5, min(1.0, self.tolerance / max(self.stretch, 1e-9)))
+        wanted = self.limit * gradient * (FAILED_CUT if self.failed else 1.0) + sqrt(self.limit)
+        if wanted > self.limit and self.out_most < self.limit / 2:  # nothing was learnt about more
             return
-        wanted = self.limit * gradient + sqrt(self.limit)
-        self.limit += SMOOTH * (wanted - self.limit)
+        self.limit = wanted if wanted > self.limit else self.limit + DOWN * (wanted - self.limit)
         self.limit = max(self.least, min(self.most, self.limit))
--- a/scalelb/fairness/promises.py
+++ b/scalelb/fairness/promises.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-from collections import deque
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
 from math import inf
@@ -27,21 +26,10 @@
 class Account:
     """The promises of one flow, in the order of their times."""
 
-    promises: deque[Promise] = field(default_factory=deque)
+    promises: list[Promise] = field(default_factory=list)
     units: float = 0.0
 
 
-@dataclass(slots=True)
-class Tally:
-    """What became of the promises."""
-
-    made: int = 0
-    claimed: int = 0
-    lapsed: int = 0
-    beyond: int = 0  # refusals whose honest time may not be said
-    full: int = 0  # refusals for which the ledger had no room
-
-
 class Ledger:
     """All promises of one door."""
 
@@ -50,7 +38,8 @@
         self.accounts: dict[str, Account] = {}
         self.lapses: list[tuple[float, str]] = []  # a heap: when a promise lapses, and whose it is
         self.count = 0
-        self.tally = Tally()
+        # `beyond`: honest times that may not be said; `full`: refusals for which there was no room
+        self.tally = {"made": 0, "claimed": 0, "lapsed": 0, "beyond": 0, "full": 0}
 
     def promise(
         self, flow: str, now: float, units: float, short: float, rate: float, most_ms: float, tag: float
@@ -65,16 +54,16 @@
             wait = max(wait, account.promises[-1].due - now)
         wait = max(1.0, wait)
         if wait > most_ms:
-            self.tally.beyond += 1
+            self.tally["beyond"] += 1
             return most_ms, False
         if self.count >= self.most:
-            self.tally.full += 1
+            self.tally["full"] += 1
             return wait, False
         account = account or self.accounts.setdefault(flow, Account())
         account.promises.append(Promise(now + wait, units, tag))
         account.units += units
         self.count += 1
-        self.tally.made += 1
+        self.tally["made"] += 1
         heappush(self.lapses, (now + wait + self.grace_ms, flow))
         return wait, True
 
@@ -93,7 +82,7 @@
         promise = account.promises[found]
         del account.promises[found]
         self._less(flow, account, promise)
-        self.tally.claimed += 1
+        self.tally["claimed"] += 1
         return promise
 
     def owed(self, flow: str, now: float) -> tuple[float, float, float]:
@@ -114,8 +103,8 @@
             _, flow = heappop(self.lapses)
             account = self.accounts.get(flow)
             while account and account.promises and account.promises[0].due + self.grace_ms <= now:
-                self._less(flow, account, account.promises.popleft())
-                self.tally.lapsed += 1
+                self._less(flow, account, account.promises.pop(0))
+                self.tally["lapsed"] += 1
 
     def _less(self, flow: str, account: Account, promise: Promise) -> None:
         self.count -= 1
--- a/scalelb/fairness/queue.py
+++ b/scalelb/fairness/queue.py
@@ -14,7 +14,7 @@
 
 T = TypeVar("T")
 SLACK = 64  # stale entries that a heap may hold before it is swept
-FINISHED_MOST = 8192  # finish tags of idle flows that are remembered
+FINISHED_MOST = 2048  # finish tags of idle flows that are remembered
 
 
 class Entry(Generic[T]):
@@ -116,6 +116,10 @@
             return entry
         return None
 
+    def behind(self, name: str) -> bool:
+        """Whether an idle flow has had no more than its share: what it asks for next is due already."""
+        return self.finished.get(name, 0.0) <= self.virtual
+
     def charge(self, name: str, weight: float, units: float) -> None:
         """A request of an idle flow went without waiting: its flow's next one begins after it."""
         start = max(self.virtual, self.finished.get(name, 0.0))
--- a/scalelb/fairness/settings.py
+++ b/scalelb/fairness/settings.py
@@ -19,17 +19,18 @@
     """All that a door is told; units are the quotas' units, times milliseconds."""
 
     flows: FlowBy = FlowBy.CUSTOMER
-    weights: tuple[float, ...] = ()  # by plan; empty: the plans' rates, 1 where a plan has none
-    stranger_weight: float = 8.0  # of all customers together that were not seen lately
+    weights: tuple[float, ...] = ()  # by plan; empty: rates over their mean, 1 where there is none
+    stranger_weight: float = 8.0  # of all together that were not seen lately
     held_most: int = 2048  # requests that wait at the door
     waiting_most: int = 8  # of one flow that wait for credit or a server behind the door
     grace_ms: float = 400.0  # that a promise is kept for after its time
     early_ms: float = 25.0  # before its time at which a promise may be claimed: clocks and links differ
-    promises_most: int = 8192
+    promises_most: int = 4096
     reserve: bool = True  # whether promises hold back what they promise; needs clients that mark retries
     start_units: float = 64.0  # let in at once before any answer was seen
     least_units: float = 12.0
     most_units: float = 4096.0
+    tolerance: float = 1.1  # latency over what it is at ease at which the limit stops growing
     plan_rates: tuple[float, ...] = field(default=(), compare=False)
 
     def __post_init__(self) -> None:
@@ -40,6 +41,8 @@
         for name in ("held_most", "waiting_most", "promises_most"):
             if getattr(self, name) < 1:
                 raise ValueError(f"{name} must be at least 1, not {getattr(self, name)!r}")
+        if not 1.0 <= self.tolerance < 10.0:
+            raise ValueError(f"tolerance must be at least 1 and under 10, not {self.tolerance!r}")
         if not self.least_units <= self.start_units <= self.most_units:
             raise ValueError("start_units must lie between least_units and most_units")
         for place, weight in enumerate(self.weights):
@@ -47,7 +50,10 @@
                 raise ValueError(f"weights[{place}] must be a finite number above 0, not {weight!r}")
 
     def weight(self, plan: int) -> float:
-        """The weight of a plan's customers."""
+        """The weight of a plan's customers; without weights of its own, its rate over the mean rate."""
         if self.weights:
             return self.weights[plan] if plan < len(self.weights) else 1.0
-        return (self.plan_rates[plan] if plan < len(self.plan_rates) else 0.0) or 1.0
+        rates = [rate for rate in self.plan_rates if rate > 0]
+        if plan >= len(self.plan_rates) or not self.plan_rates[plan]:
+            return 1.0
+        return self.plan_rates[plan] * len(rates) / sum(rates)
--- a/scalelb/middleware/asgi.py
+++ b/scalelb/middleware/asgi.py
@@ -64,6 +64,7 @@
             first_door=asked.first,
             retry=asked.retry,
             key=asked.key,
+            client=str((scope.get("client") or ("",))[0]),
         )
         early: list[Message] = []
         try:
--- a/scalelb/middleware/host.py
+++ b/scalelb/middleware/host.py
@@ -7,6 +7,7 @@
 from collections.abc import Awaitable, Callable, Iterable
 from math import isfinite
 
+from scalelb.fairness import DoorSettings
 from scalelb.routing import interface as io
 from scalelb.routing.core import Core, Limits, Ticket
 
@@ -23,11 +24,13 @@
         seed: int = 0,
         add: AddToCounter | None = None,
         clock: Callable[[], float] | None = None,
+        door: DoorSettings | None = None,
     ) -> None:
         offset = time.time() - time.monotonic()
         self.clock = clock or (lambda: (time.monotonic() + offset) * 1000.0)
         self.settings, self.add = settings, add
-        self.core = Core(settings, seed, self, self.clock, Limits(margin_ms=0.0, transit_ms=0.0))
+        limits = Limits(margin_ms=0.0, transit_ms=0.0)
+        self.core = Core(settings, seed, self, self.clock, limits, door=door)
         self.alarm: asyncio.TimerHandle | None = None
         self.tasks: set[asyncio.Task[None]] = set()
 
--- a/scalelb/program/__main__.py
+++ b/scalelb/program/__main__.py
@@ -157,6 +157,7 @@
             let_in=round(gateway.open, 3),
             usual_ms=round(gateway.usual, 1),
             counts=dict(sorted(tally.items())),
+            **(core.door.told() if core.door is not None else {}),
         )
         self.cpu = cpu
         self.reactor.callLater(TALLY_S, self.tell)
--- a/scalelb/program/config.py
+++ b/scalelb/program/config.py
@@ -16,11 +16,13 @@
 
 import orjson
 
+from scalelb.fairness import DoorSettings, FlowBy
 from scalelb.routing import interface as io
 
 E = TypeVar("E", bound=Enum)
 STATES = {"ready": io.State.SERVING, "draining": io.State.DRAINING, "gone": io.State.GONE}
-FRONTS = Path(__file__).parent.parent.parent / "deploy" / "fronts.toml"
+DEPLOY = Path(__file__).parent.parent.parent / "deploy"
+FRONTS, FAIRNESS = DEPLOY / "fronts.toml", DEPLOY / "fairness.toml"
 
 
 class ConfigError(Exception):
@@ -190,6 +192,7 @@
     requests_most: int
     fronts: Fronts = field(default_factory=Fronts)
     memory_mb: float = 192.0
+    fairness: DoorSettings | None = None  # none: no door before the decisions
 
     @property
     def descriptors(self) -> int:
@@ -257,6 +260,7 @@
         conn_idle_ms=limits.number("conn-idle-ms", 1.0, 30_000.0),
         requests_most=limits.whole("max-open", 1, 4096),
         fronts=read_fronts(environment),
+        fairness=read_fairness(environment, parsed, tuple(t.text("name") for t in settings.nodes("tariffs"))),
     )
 
 
@@ -267,6 +271,7 @@
     """
     names = {"director": "discovery", "kinds": "settings", "plans": "settings", "zones": "settings"}
     names |= {"connect_timeout_ms": "settings", "conn_idle_ms": "settings", "requests_most": "settings"}
+    names |= {"fronts": "SCALELB_FRONTS", "fairness": "SCALELB_FAIRNESS"}
     names |= {"sockets": "limits.sockets", "memory_mb": "limits.memory_mb"}
     skipped = {"seed", "known", "generation"}
     differ = [f.name for f in fields(Config) if getattr(old, f.name) != getattr(new, f.name)]
@@ -284,17 +289,82 @@
         raise ConfigError(f"EDGE_CONFIG: {path}: not JSON: {error}") from None
 
 
+def read_door(options: Any, settings: io.Settings, plans: tuple[str, ...]) -> DoorSettings | None:
+    """Check what a fair door is told (`deploy/fairness.toml` has the keys); nothing where it is off.
+
+    An API call as well: `options` is the same object that the file holds.
+    """
+    top = Node(options, "")
+    known = {"door": {"on", "flows", "held", "waiting"}, "weights": set(plans) | {"strangers"}}
+    known |= {"promises": {"reserve", "grace_ms", "early_ms", "most"}}
+    known |= {"limit": {"start_units", "least_units", "most_units", "tolerance"}}
+    for key in sorted(top.value):
+        if key not in known:
+            raise ConfigError(f"{key}: not known; there are {', '.join(known)}")
+        if unknown := sorted(set(top.node(key).value) - known[key]):
+            raise ConfigError(f"{key}.{unknown[0]}: not known; there are {', '.join(sorted(known[key]))}")
+    door, weights = top.node("door", {}), top.node("weights", {})
+    promises, limit = top.node("promises", {}), top.node("limit", {})
+    rates = tuple(plan.rate for plan in settings.plans)
+    usual = DoorSettings(plan_rates=rates)
+    _check_limit(limit, usual)
+    read = DoorSettings(
+        flows=door.choice("flows", FlowBy) if "flows" in door.value else usual.flows,
+        weights=tuple(
+            weights.number(name, 0.0, usual.weight(place), above=True) for place, name in enumerate(plans)
+        ),
+        stranger_weight=weights.number("strangers", 0.0, usual.stranger_weight, above=True),
+        held_most=door.whole("held", 1, usual.held_most),
+        waiting_most=door.whole("waiting", 1, usual.waiting_most),
+        grace_ms=promises.number("grace_ms", 0.0, usual.grace_ms),
+        early_ms=promises.number("early_ms", 0.0, usual.early_ms),
+        promises_most=promises.whole("most", 1, usual.promises_most),
+        reserve=promises.flag("reserve", usual.reserve),
+        least_units=limit.number("least_units", settings.most_units or 1.0, usual.least_units),
+        start_units=limit.number("start_units", settings.most_units or 1.0, usual.start_units),
+        most_units=limit.number("most_units", settings.most_units or 1.0, usual.most_units),
+        tolerance=limit.number("tolerance", 1.0, usual.tolerance),
+        plan_rates=rates,
+    )
+    return read if door.flag("on", False) else None
+
+
+def _check_limit(limit: Node, usual: DoorSettings) -> None:
+    least, start, most = (
+        limit.number(key, 0.0, getattr(usual, key)) for key in ("least_units", "start_units", "most_units")
+    )
+    if not least <= start <= most:
+        where = limit.at("start_units")
+        raise ConfigError(f"{where}: must lie between least_units and most_units, not {start:g}")
+    if (tolerance := limit.number("tolerance", 1.0, usual.tolerance)) >= 10:
+        raise ConfigError(f"{limit.at('tolerance')}: must be under 10, not {tolerance:g}")
+
+
+def read_fairness(
+    environment: Mapping[str, str], settings: io.Settings, plans: tuple[str, ...]
+) -> DoorSettings | None:
+    """Read the fair door's file; without one there is no door."""
+    path = Path(environment.get("SCALELB_FAIRNESS", "") or FAIRNESS)
+    if not path.exists() and "SCALELB_FAIRNESS" not in environment:
+        return None
+    return read_door(_load_toml(path, "SCALELB_FAIRNESS"), settings, plans)
+
+
+def _load_toml(path: Path, variable: str) -> Any:
+    try:
+        return tomllib.loads(path.read_text())
+    except OSError as error:
+        raise ConfigError(f"{variable}: {path}: {error.strerror}") from None
+    except tomllib.TOMLDecodeError as error:
+        raise ConfigError(f"{path.name}: not TOML: {error}") from None
+
+
 def read_fronts(environment: Mapping[str, str] = os.environ) -> Fronts:
     """Read the fronts' file; without one, only the platform's door is open."""
     path = Path(environment.get("SCALELB_FRONTS", "") or FRONTS)
     if not path.exists() and "SCALELB_FRONTS" not in environment:
         return Fronts()
-    try:
-        top = Node(tomllib.loads(path.read_text()), "")
-    except OSError as error:
-        raise ConfigError(f"SCALELB_FRONTS: {path}: {error.strerror}") from None
-    except tomllib.TOMLDecodeError as error:
-        raise ConfigError(f"{path.name}: not TOML: {error}") from None
+    top = Node(_load_toml(path, "SCALELB_FRONTS"), "")
     found = {}
     for key in Fronts.__slots__:
         found[key] = top.node(key, {"listen": ""}).address("listen", "")
--- a/scalelb/program/loop.py
+++ b/scalelb/program/loop.py
@@ -29,7 +29,8 @@
     def __init__(self, config: Config, reactor: Reactor, clock: Callable[[], float], log: Log) -> None:
         self.config, self.reactor, self.clock, self.log = config, reactor, clock, log
         limits = Limits(requests=min(4096, config.requests_most))
-        self.core = Core(config.settings, config.seed, self, clock, limits, self.fault)
+        door = config.fairness
+        self.core = Core(config.settings, config.seed, self, clock, limits, self.fault, door)
         each = max(1, config.connections_most // 4)
         pool = PoolLimits(
             connections=config.connections_most,
--- a/scalelb/routing/admission.py
+++ b/scalelb/routing/admission.py
@@ -44,6 +44,7 @@
     retry: bool = False,
     door: int = 0,
     key: str = "",
+    client: str = "",
 ) -> Decision:
     """Ask for admission.  Whoever is cancelled while it waits has taken nothing; one that was admitted in
     the same moment has taken its units whole."""
@@ -62,6 +63,7 @@
         door=door,
         key=key,
         admission=True,
+        client=client,
     )
     try:
         return await waiter.decided
--- a/scalelb/routing/core.py
+++ b/scalelb/routing/core.py
@@ -60,14 +60,15 @@
     """A request that a front has taken."""
 
     __slots__ = (
-        "attempt", "caller", "client", "done", "expires", "handle", "ident", "out", "payload", "sent",
-        "server", "size",
+        "attempt", "caller", "client", "done", "expires", "handle", "ident", "load", "out", "payload",
+        "sent", "server", "size",
     )  # fmt: skip
 
     def __init__(self, ident: int, caller: Caller, payload: Any, expires: float) -> None:
         self.ident, self.caller, self.payload, self.expires = ident, caller, payload, expires
         self.client = ""  # whose connection it came by
         self.size = 1.0  # how long it takes, against a mean request
+        self.load = 0.0  # what its server had of us when it was sent, with it
         self.attempt = -1  # the newest
         self.out = False  # whether it is out
         self.sent = 0.0  # when it began
@@ -412,6 +413,8 @@
         self._note("fetches")
         if self.door is not None:
             self.door.sent(ticket.ident)
+            server = self.gateway.servers.get(action.server)
+            ticket.load = server.load if server is not None else 0.0
         self.ports.fetch(ticket, action.server, patience)
 
     def _give_up(self, ticket: Ticket, outcome: io.Outcome) -> None:
@@ -429,7 +432,8 @@
     ) -> None:
         elapsed = self.clock() - ticket.sent
         if self.door is not None and outcome in JUDGED:
-            self.door.answered(self.clock(), elapsed, ticket.size, outcome is io.Outcome.OK)
+            good = outcome is io.Outcome.OK
+            self.door.answered(self.clock(), ticket.server, elapsed, ticket.size, ticket.load, good)
         self.inbox.append(
             io.AttemptEnded(
                 ticket.ident, ticket.attempt, ticket.server, outcome, elapsed, ticket.done, units, report
--- a/scalelb/transport/authz/front.py
+++ b/scalelb/transport/authz/front.py
@@ -64,6 +64,11 @@
     return _denied(code_pb2.UNAVAILABLE, 503, "failed: no decision in time")
 
 
+def _host(peer: str) -> str:
+    """The machine of a peer as gRPC names it, `ipv4:127.0.0.1:4711`: its connections are one client."""
+    return peer.rpartition(":")[0]
+
+
 class Authorization:
     """`Check`: reads the attributes, asks the core, answers."""
 
@@ -101,6 +106,7 @@
                 retry=asked.retry,
                 door=DOOR,
                 key=asked.key,
+                client=_host(context.peer()),
             )
         except OutOfRangeError as error:
             await self.malformed(context, f"x-quota: {error}")
--- a/scalelb/transport/session.py
+++ b/scalelb/transport/session.py
@@ -49,6 +49,7 @@
         self.order: deque[Answer] = deque()
         self.ended = self.leaving = False  # nothing more is read; and the connection is closing
         self.heard = False  # a whole command has come
+        self.client = ""  # where it comes from
         self.skipped = 0  # bytes that came after the end
         self.since = self.part_since = self.stuck_since = 0.0  # see `Door.sweep`
 
@@ -56,6 +57,7 @@
         """The connection is up."""
         super().connectionMade()
         self.since = self.door.clock()
+        self.client = str(getattr(self.transport.getPeer(), "host", ""))
         self.door.joined(self)
 
     def rawDataReceived(self, data: bytes) -> None:  # noqa: N802
@@ -348,6 +350,7 @@
                 first_door=call.first,
                 retry=call.retry,
                 key=call.key if self.keyed else "",
+                client=session.client,
             )
         except OutOfRangeError as error:
             raise MalformedError(str(error)) from None
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -16,8 +16,10 @@
     "routing": {"fairness", "routing"},
     "protocol": {"protocol"},
     "transport": {"routing", "protocol", "transport"},
-    "middleware": {"routing", "protocol", "middleware"},
-    "program": {"routing", "protocol", "transport", "program"},
+    "middleware": {"fairness", "routing", "protocol", "middleware"},
+    "program": {"fairness", "routing", "protocol", "transport", "program"},
+    "lab": {"fairness", "routing", "protocol", "program", "lab"},
+    "__main__": {"lab"},
     "wirehost": {"routing", "program", "wirehost"},
     "__init__": {"routing"},
 }
