--- /dev/null
+++ b/scalelb/lab/cli.py
@@ -0,0 +1,106 @@
+"""`python -m scalelb lab`: run experiments, report on them."""
+
+from __future__ import annotations
+
+import re
+import sys
+from pathlib import Path
+from typing import Any
+
+import click
+import orjson
+from tqdm import tqdm
+
+from scalelb.lab import model, stage
+from scalelb.lab.experiment import Experiment, ExperimentError, Variant, read_experiment, with_seed
+from scalelb.lab.report import RESULT, ReportError, markdown, table, write_report
+from scalelb.lab.rows import Row, write_rows
+
+
+@click.group()
+def lab() -> None:
+    """Experiments on the limiter: real processes on loopback, or its core in virtual time."""
+
+
+@lab.command()
+@click.argument("experiment", type=click.Path(path_type=Path))
+@click.option("--out", type=click.Path(path_type=Path, file_okay=False), required=True, help="For results.")
+@click.option("--virtual", is_flag=True, help="Play the core in virtual time, without sockets or processes.")
+@click.option("--seed", type=click.IntRange(0, 2**31 - 1), default=0, help="Added to each variant's seed.")
+@click.option("--only", multiple=True, metavar="VARIANT", help="Run this variant alone; may be given again.")
+def run(experiment: Path, out: Path, virtual: bool, seed: int, only: tuple[str, ...]) -> None:
+    """Run every variant of EXPERIMENT and report on them."""
+    try:
+        read = with_seed(read_experiment(experiment), seed)
+        chosen = _chosen(read, only)
+        results = [_play(read, variant, out / _folder(variant), virtual) for variant in chosen]
+    except (ExperimentError, stage.StageError) as error:
+        raise click.ClickException(str(error)) from None
+    how = "the core in virtual time" if virtual else "the real program on loopback"
+    result = {"name": read.name, "seconds": read.seconds, "how": how, "variants": [r for r, _ in results]}
+    (out / RESULT).write_bytes(orjson.dumps(result, option=orjson.OPT_INDENT_2))
+    click.echo(markdown(table(row for _, rows in results for row in rows)), nl=False)
+    click.echo(f"report: {write_report(out)}")
+    if broken := [f"{r['name']}: {words}" for r, _ in results for words in r["broken"]]:
+        raise click.ClickException("rules broken: " + "; ".join(broken))
+
+
+@lab.command()
+@click.argument("out", type=click.Path(path_type=Path))
+def report(out: Path) -> None:
+    """Write the report on what OUT holds anew."""
+    try:
+        click.echo(write_report(out))
+    except ReportError as error:
+        raise click.ClickException(str(error)) from None
+
+
+@lab.command()
+@click.argument("experiment", type=click.Path(path_type=Path))
+def check(experiment: Path) -> None:
+    """Check EXPERIMENT and say what it would do."""
+    try:
+        read = read_experiment(experiment)
+    except ExperimentError as error:
+        raise click.ClickException(str(error)) from None
+    for variant in read.variants:
+        count = len(read.arrivals(variant))
+        click.echo(f"{variant.name}: {count} requests in {read.seconds:g} s, {variant.limiters} limiters")
+
+
+def _chosen(experiment: Experiment, only: tuple[str, ...]) -> list[Variant]:
+    names = [variant.name for variant in experiment.variants]
+    if unknown := [name for name in only if name not in names]:
+        raise ExperimentError(f"no variant {unknown[0]!r}; there are {', '.join(names)}")
+    return [variant for variant in experiment.variants if not only or variant.name in only]
+
+
+def _folder(variant: Variant) -> str:
+    return re.sub(r"[^A-Za-z0-9]+", "-", variant.name).strip("-").lower() or "variant"
+
+
+def _play(
+    experiment: Experiment, variant: Variant, out: Path, virtual: bool
+) -> tuple[dict[str, Any], list[Row]]:
+    with tqdm(total=100, desc=variant.name, unit="%", file=sys.stderr, disable=None) as bar:
+        if virtual:
+            world = model.play(experiment, variant, lambda part: bar.update(100 * part - bar.n))
+            out.mkdir(parents=True, exist_ok=True)
+            write_rows(out / "rows.parquet", world.rows)
+            limiters = [
+                {
+                    "cpu_ms": round(limiter.cpu_ns / 1e6, 1),
+                    "longest_turn_ms": round(limiter.longest_ns / 1e6, 1),
+                    "door": limiter.core.door.told()["door"] if limiter.core.door else {},
+                }
+                for limiter in world.limiters
+            ]
+            found = {"name": variant.name, "folder": out.name, "tries": len(world.rows), "broken": []}
+            return found | {"limiters": limiters}, world.rows
+        played = stage.play(experiment, variant, out, lambda part: bar.update(100 * part - bar.n))
+        bar.update(100 - bar.n)
+    found = {
+        "name": variant.name, "folder": out.name, "tries": len(played.rows), "broken": played.broken(),
+        "limiters": played.limiters, "late_p99_ms": played.load["late_p99_ms"],
+    }  # fmt: skip
+    return found, played.rows
--- /dev/null
+++ b/scalelb/lab/experiment.py
@@ -0,0 +1,308 @@
+"""Experiments: a TOML file names fleet, plans, centers, clients and variants; all of it is checked before a
+start.
+
+The same file runs in virtual time (`lab model`) and on loopback against the real program (`lab run`).
+"""
+
+from __future__ import annotations
+
+import tomllib
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
+from math import inf
+from pathlib import Path
+from typing import Any
+
+from scalelb.fairness import DoorSettings
+from scalelb.lab.traffic import Arrival, Clients, EveningError, Tenant, draw, read_evening
+from scalelb.program.config import ConfigError, Node, read_door, read_settings
+from scalelb.routing import interface as io
+
+SECONDS_MOST, SERVERS_MOST, LIMITERS_MOST, VARIANTS_MOST = 3600, 500, 50, 64
+ARRIVALS_MOST = 2_000_000
+CLASSES = [
+    {
+        "name": "fetch-cards", "aim-ms": 2000, "hard-limit-ms": 7500, "effect": "safe", "group": "all",
+        "window-ms": 0, "worth": 2, "late-value": 0.2,
+    },
+    {
+        "name": "record-answer", "aim-ms": 1000, "hard-limit-ms": 4000, "effect": "keyed", "group": "all",
+        "window-ms": 4000, "worth": 6, "late-value": 0.2,
+    },
+]  # fmt: skip
+KINDS = tuple(str(c["name"]) for c in CLASSES)
+
+
+class ExperimentError(Exception):
+    """A faulty experiment; the message names file and key."""
+
+
+@dataclass(frozen=True)
+class Fleet:
+    """The deck servers of the stand-ins."""
+
+    servers: int = 6
+    cores: int = 3
+    speeds: tuple[float, float] = (0.55, 1.1)  # of a core, drawn evenly for each server
+    room: int = 12  # requests that wait at a server; beyond that it turns away
+    work_ms: tuple[float, ...] = (60.0, 40.0)  # a unit's, by class, on a core of speed 1
+    link_ms: float = 0.5
+    cold: int = 0  # of them that start with the run
+    cold_from: float = 0.15
+    cold_ms: float = 18_000.0
+
+
+@dataclass(frozen=True)
+class Variant:
+    """One run of an experiment."""
+
+    name: str
+    door: bool = True
+    without: tuple[str, ...] = ()  # groups of centers that stay away
+    limiters: int = 1
+    seed: int = 1
+
+
+@dataclass(frozen=True)
+class Experiment:
+    """All of one experiment."""
+
+    name: str
+    seconds: float
+    settle_s: float
+    max_retry_after_ms: float
+    most_units: float
+    fleet: Fleet
+    plans: dict[str, dict[str, Any]]
+    tenants: tuple[Tenant, ...]
+    clients: Clients
+    door: dict[str, Any]
+    variants: tuple[Variant, ...]
+    evening: str = ""
+    evening_speed: float = 1.0
+    counter_ms: float = 1.0
+    folder: Path = field(default=Path(), compare=False)
+
+    def settings_object(self, variant: Variant, index: int) -> dict[str, Any]:
+        """The settings as a limiter's configuration holds them."""
+        tariffs = [
+            {
+                "name": name, "units-per-s": plan["rate"], "most-at-once": plan["burst"],
+                "at-once": plan["at_once"], "cap-rate": 0, "hard-burst": 0, "hard-slack": 0,
+                "pays": plan["price"], "over-worth": 0, "over-cost": 1,
+            }
+            for name, plan in self.plans.items()
+        ]  # fmt: skip
+        return {
+            "index": index, "balancers": variant.limiters, "zone": 0, "dcs": ["a"], "classes": CLASSES,
+            "tariffs": tariffs, "discovery": "pushed",
+            "limits": {
+                "try-limit": 4, "cancel": True, "probing": False, "retry-after": True,
+                "max-retry-after-ms": self.max_retry_after_ms, "max-open": 4096,
+                "connect-timeout-ms": 250, "conn-idle-ms": 30_000,
+            },
+            "rules": {
+                "cold-from": self.fleet.cold_from, "cold-ms": self.fleet.cold_ms, "fall-multiple": 3,
+                "fall-ms": 1500,
+            },
+            "extra": {"most-units": self.most_units, "shared-counter": True, "count-limit-ms": 30},
+        }  # fmt: skip
+
+    def settings(self, variant: Variant, index: int = 0) -> io.Settings:
+        """The settings, read as the program reads them."""
+        return read_settings(self.settings_object(variant, index), "settings")
+
+    def door_settings(self, variant: Variant) -> DoorSettings | None:
+        """The door, read as the program reads it."""
+        return read_door(self.door_object(variant), self.settings(variant), tuple(self.plans))
+
+    def door_object(self, variant: Variant) -> dict[str, Any]:
+        """The door's file for a variant."""
+        return {**self.door, "door": {**self.door.get("door", {}), "on": variant.door}}
+
+    def arrivals(self, variant: Variant) -> list[Arrival]:
+        """All first tries of a variant."""
+        if self.evening:
+            path = self.folder / self.evening
+            try:
+                return read_evening(path, list(self.plans), KINDS, variant.limiters, self.evening_speed)
+            except (OSError, EveningError) as error:
+                raise ExperimentError(f"{path.name}: evening.file: {error}") from None
+        staying = [tenant for tenant in self.tenants if tenant.name not in variant.without]
+        return draw(staying, 1000.0 * self.seconds, variant.limiters, variant.seed)
+
+
+def read_experiment(path: Path) -> Experiment:
+    """Read and check an experiment's file.  Raises `ExperimentError` naming file, key and reason."""
+    try:
+        options = tomllib.loads(path.read_text())
+    except (OSError, UnicodeDecodeError) as error:
+        raise ExperimentError(f"{path}: {getattr(error, 'strerror', None) or error}") from None
+    except tomllib.TOMLDecodeError as error:
+        raise ExperimentError(f"{path}: not TOML: {error}") from None
+    try:
+        experiment = _read(options, path)
+        for variant in experiment.variants:  # whatever the program itself would refuse is refused now
+            experiment.settings(variant)
+            experiment.door_settings(variant)
+            if len(experiment.arrivals(variant)) > ARRIVALS_MOST:
+                raise ConfigError(f"tenants: more than {ARRIVALS_MOST} requests in one variant")
+    except ConfigError as error:
+        raise ExperimentError(f"{path}: {error}") from None
+    return experiment
+
+
+def _read(options: Any, path: Path) -> Experiment:
+    top = Node(options, "")
+    _only(top, "name seconds settle_s max_retry_after_ms most_units counter_ms fleet plans tenants clients "
+               "door variants evening")  # fmt: skip
+    plans = {name: _plan(top.node("plans").node(name)) for name in top.node("plans").value}
+    if not plans:
+        raise ConfigError("plans: there is none")
+    evening = top.node("evening", {})
+    _only(evening, "file speed")
+    tenants = tuple(_tenant(node, tuple(plans)) for node in _list(top, "tenants", 0))
+    names = [tenant.name for tenant in tenants]
+    if len(set(names)) < len(names):
+        raise ConfigError("tenants: two have the same name")
+    if not tenants and not evening.value:
+        raise ConfigError("tenants: there is none, and no evening")
+    variants = tuple(_variant(node, names) for node in _list(top, "variants", 1))
+    if len({variant.name for variant in variants}) < len(variants):
+        raise ConfigError("variants: two have the same name")
+    return Experiment(
+        name=top.text("name", path.stem),
+        seconds=_within(top, "seconds", 0.1, SECONDS_MOST, 20.0),
+        settle_s=_within(top, "settle_s", 0.0, 600.0, 5.0),
+        max_retry_after_ms=_within(top, "max_retry_after_ms", 1.0, 1e7, 10_000.0),
+        most_units=_within(top, "most_units", 1.0, 1000.0, 6.0),
+        counter_ms=_within(top, "counter_ms", 0.0, 1000.0, 1.0),
+        fleet=_fleet(top.node("fleet", {})),
+        plans=plans,
+        tenants=tenants,
+        clients=_clients(top.node("clients", {})),
+        door=top.node("door", {}).value,
+        variants=variants,
+        evening=evening.text("file") if evening.value else "",
+        evening_speed=_within(evening, "speed", 0.01, 100.0, 1.0),
+        folder=path.parent,
+    )
+
+
+def _fleet(node: Node) -> Fleet:
+    usual = Fleet()
+    _only(node, "servers cores speeds room work_ms link_ms cold cold_from cold_ms")
+    speeds = _numbers(node, "speeds", usual.speeds)
+    work = _numbers(node, "work_ms", usual.work_ms)
+    if len(speeds) != 2 or speeds[0] > speeds[1]:
+        raise ConfigError(f"{node.at('speeds')}: must be the least and the most")
+    if len(work) != len(CLASSES):
+        raise ConfigError(f"{node.at('work_ms')}: must be a time for each of {', '.join(KINDS)}")
+    servers = int(_within(node, "servers", 1, SERVERS_MOST, usual.servers, whole=True))
+    return Fleet(
+        servers=servers,
+        cores=int(_within(node, "cores", 1, 256, usual.cores, whole=True)),
+        speeds=(speeds[0], speeds[1]),
+        room=int(_within(node, "room", 0, 10_000, usual.room, whole=True)),
+        work_ms=work,
+        link_ms=_within(node, "link_ms", 0.0, 1000.0, usual.link_ms),
+        cold=int(_within(node, "cold", 0, servers, usual.cold, whole=True)),
+        cold_from=_within(node, "cold_from", 0.01, 1.0, usual.cold_from),
+        cold_ms=_within(node, "cold_ms", 1.0, 1e6, usual.cold_ms),
+    )
+
+
+def _plan(node: Node) -> dict[str, Any]:
+    _only(node, "rate burst at_once price")
+    return {
+        "rate": node.number("rate"),
+        "burst": node.number("burst"),
+        "at_once": node.whole("at_once", 0, 0),
+        "price": node.number("price", 0.0, 1.0),
+    }
+
+
+def _tenant(node: Node, plans: tuple[str, ...]) -> Tenant:
+    _only(node, "name plan per_s count units classes from_s until_s renames")
+    plan = node.text("plan", plans[0])
+    if plan not in plans:
+        raise ConfigError(f"{node.at('plan')}: must be one of {', '.join(plans)}, not {plan!r}")
+    kinds = node.get("classes", [KINDS[0]])
+    if not isinstance(kinds, list) or not kinds or not set(kinds) <= set(KINDS):
+        raise ConfigError(f"{node.at('classes')}: must be some of {', '.join(KINDS)}, not {kinds!r}")
+    begin, end = node.number("from_s", 0.0, 0.0), node.number("until_s", 0.0, 1e9)
+    if begin >= end:
+        raise ConfigError(f"{node.at('until_s')}: must be after from_s")
+    return Tenant(
+        name=node.text("name"),
+        per_s=_within(node, "per_s", 0.0, 100_000.0),
+        plan=plans.index(plan),
+        count=int(_within(node, "count", 1, 1_000_000, 1, whole=True)),
+        units=_numbers(node, "units", (1.0, 2.0, 3.0)),
+        kinds=tuple(KINDS.index(kind) for kind in kinds),
+        from_ms=1000.0 * begin,
+        until_ms=1000.0 * end if end < 1e9 else inf,
+        renames=node.flag("renames", False),
+    )
+
+
+def _clients(node: Node) -> Clients:
+    usual = Clients()
+    _only(node, "obey tries stray jitter_ms")
+    return Clients(
+        obey=node.flag("obey", usual.obey),
+        tries=int(_within(node, "tries", 1, 100, usual.tries, whole=True)),
+        stray=_within(node, "stray", 0.0, 1.0, usual.stray),
+        jitter_ms=_within(node, "jitter_ms", 0.0, 60_000.0, usual.jitter_ms),
+    )
+
+
+def _variant(node: Node, tenants: Iterable[str]) -> Variant:
+    _only(node, "name door without limiters seed")
+    without = node.get("without", [])
+    if not isinstance(without, list) or not set(without) <= set(tenants):
+        raise ConfigError(f"{node.at('without')}: must be names of tenants, not {without!r}")
+    return Variant(
+        name=node.text("name"),
+        door=node.flag("door", True),
+        without=tuple(without),
+        limiters=int(_within(node, "limiters", 1, LIMITERS_MOST, 1, whole=True)),
+        seed=int(_within(node, "seed", 0, 2**31, 1, whole=True)),
+    )
+
+
+def _only(node: Node, keys: str) -> None:
+    known = keys.split()
+    if unknown := sorted(set(node.value) - set(known)):
+        raise ConfigError(f"{node.at(unknown[0])}: not known; there are {', '.join(known)}")
+
+
+def _list(node: Node, key: str, least: int) -> list[Node]:
+    found = node.nodes(key, least) if least or key in node.value else []
+    if len(found) > VARIANTS_MOST:
+        raise ConfigError(f"{node.at(key)}: must be {VARIANTS_MOST} at most, not {len(found)}")
+    return found
+
+
+def _numbers(node: Node, key: str, usual: tuple[float, ...]) -> tuple[float, ...]:
+    value = node.get(key, list(usual))
+    if not isinstance(value, list) or not value:
+        raise ConfigError(f"{node.at(key)}: must be a list of numbers")
+    return tuple(Node({key: item}, node.path).number(key, above=True) for item in value)
+
+
+def _within(
+    node: Node, key: str, least: float, most: float, usual: float | None = None, whole: bool = False
+) -> float:
+    if whole:
+        value: float = node.whole(key, 0, None if usual is None else int(usual))
+    else:
+        value = node.number(key, 0.0, usual)
+    if not least <= value <= most:
+        raise ConfigError(f"{node.at(key)}: must be {least:g} to {most:g}, not {value:g}")
+    return value
+
+
+def with_seed(experiment: Experiment, seed: int) -> Experiment:
+    """The same experiment, each variant drawn from another seed."""
+    return replace(experiment, variants=tuple(replace(v, seed=v.seed + seed) for v in experiment.variants))
--- a/scalelb/lab/model.py
+++ b/scalelb/lab/model.py
@@ -10,8 +10,8 @@
 
 import time
 from collections import deque
-from collections.abc import Callable, Iterable, Sequence
-from dataclasses import dataclass, field, replace
+from collections.abc import Callable, Iterable
+from dataclasses import replace
 from heapq import heappop, heappush
 from math import inf
 from typing import Any
@@ -19,10 +19,14 @@
 import numpy as np
 
 from scalelb.fairness import DoorSettings
+from scalelb.lab.experiment import Experiment, Fleet, Variant
+from scalelb.lab.rows import Row
+from scalelb.lab.traffic import Arrival, Clients
 from scalelb.routing import interface as io
 from scalelb.routing.core import Core, Limits, Ticket, Verdict
 
 START_MS = 1_800_000_000_000.0  # when every run begins
+FLEET, CLIENTS = Fleet(), Clients()
 VALUE = memoryview(b"$2\r\nok\r\n")
 
 
@@ -115,47 +119,6 @@
             self.kernel.after(took, told, io.Outcome.OK, total, took)
 
 
-@dataclass(slots=True)
-class Row:
-    """What became of one try."""
-
-    tenant: str
-    limiter: int
-    kind: int
-    units: float
-    number: int  # 0: the first try
-    at: float
-    sent: float = -1.0  # when its first attempt went out; -1: never
-    ended: float = -1.0
-    verdict: str = ""
-    retry_after_ms: float = 0.0
-    told_beyond: bool = False  # the time that it was told is all that may be said
-
-
-@dataclass(frozen=True)
-class Tenant:
-    """A center: its plan, how many requests a second it asks for first, and what they are."""
-
-    name: str
-    per_s: float
-    plan: int = 0
-    units: Sequence[float] = (1.0, 2.0, 3.0)
-    kinds: Sequence[int] = (0,)
-    from_ms: float = 0.0
-    until_ms: float = inf
-    renames: bool = False  # asks under a new name each time
-
-
-@dataclass(frozen=True)
-class Clients:
-    """How clients behave."""
-
-    obey: bool = True  # come back when told, marked as a retry
-    tries: int = 2
-    stray: float = 0.0  # part of the retries that come through another limiter of the set
-    jitter_ms: float = 2.0  # later than told
-
-
 class Limiter:
     """One core on the kernel: the core's ports."""
 
@@ -171,8 +134,9 @@
     def fetch(self, ticket: Ticket, server: str, patience_ms: float) -> None:
         """An attempt on its way."""
         row: Row = ticket.payload[0]
-        row.sent = self.kernel.now if row.sent < 0 else row.sent
-        attempt, link = ticket.attempt, self.world.link_ms
+        if row.sent < 0:
+            row.sent, row.server = self.kernel.now - START_MS, server
+        attempt, link = ticket.attempt, self.world.fleet.link_ms
 
         def ended(outcome: io.Outcome) -> None:
             self.kernel.after(link, self._fetched, ticket, attempt, outcome)
@@ -242,21 +206,18 @@
         *,
         seed: int = 1,
         door: DoorSettings | None = None,
-        servers: int = 12,
-        cores: int = 3,
-        speeds: tuple[float, float] = (0.55, 1.1),
-        room: int = 12,
-        work_ms: Sequence[float] = (60.0, 40.0),
-        link_ms: float = 0.5,
-        clients: Clients = Clients(),
+        fleet: Fleet = FLEET,
+        clients: Clients = CLIENTS,
+        name: str = "",
     ) -> None:
-        self.kernel, self.seed, self.link_ms, self.clients = Kernel(), seed, link_ms, clients
-        self.work_ms, self.settings = work_ms, settings
-        streams = np.random.SeedSequence(seed).spawn(3)
-        of_servers, self.arrivals, self.of_clients = (np.random.default_rng(stream) for stream in streams)
-        drawn = of_servers.uniform(*speeds, servers)
+        self.kernel, self.seed, self.fleet, self.clients = Kernel(), seed, fleet, clients
+        self.name, self.settings = name, settings
+        of_servers, self.of_clients = (
+            np.random.default_rng(stream) for stream in np.random.SeedSequence(seed).spawn(2)
+        )
+        drawn = of_servers.uniform(*fleet.speeds, fleet.servers)
         self.servers = {
-            f"deck-{n}": Server(self.kernel, f"deck-{n}", cores, float(speed), room)
+            f"deck-{n}": Server(self.kernel, f"deck-{n}", fleet.cores, float(speed), fleet.room)
             for n, speed in enumerate(drawn)
         }
         self.counter = Counter(self.kernel)
@@ -265,32 +226,24 @@
             Limiter(self, index, replace(settings, index=index), door) for index in range(settings.gateways)
         ]
 
-    def load(self, tenants: Iterable[Tenant], ms: float) -> None:
-        """Draw all arrivals of so much time ahead: load is open, never slowed by late answers."""
-        for tenant in tenants:
-            begin, end = tenant.from_ms, min(ms, tenant.until_ms)
-            count = int(self.arrivals.poisson(tenant.per_s * max(0.0, end - begin) / 1000.0))
-            times = np.sort(self.arrivals.uniform(begin, end, count))
-            units = self.arrivals.choice(np.asarray(tenant.units), count)
-            kinds = self.arrivals.choice(np.asarray(tenant.kinds), count)
-            through = self.arrivals.integers(0, len(self.limiters), count)
-            for place, when in enumerate(times):
-                name = f"{tenant.name}-{place}" if tenant.renames else tenant.name
-                row = Row(name, int(through[place]), int(kinds[place]), float(units[place]), 0, 0.0)
-                self.kernel.at(START_MS + float(when), self.ask, row, tenant.plan)
-
-    def ask(self, row: Row, plan: int) -> None:
+    def load(self, arrivals: Iterable[Arrival]) -> None:
+        """First tries, each at its time."""
+        for a in arrivals:
+            row = Row(self.name, a.group, a.customer, a.limiter, a.kind, a.plan, a.units, 0, a.at_ms)
+            self.kernel.at(START_MS + a.at_ms, self.ask, row)
+
+    def ask(self, row: Row) -> None:
         """One try reaches its limiter."""
-        row.at = self.kernel.now
+        row.at = self.kernel.now - START_MS
         self.rows.append(row)
         limiter, kind = self.limiters[row.limiter], self.settings.classes[row.kind]
-        work = self.work_ms[row.kind] * row.units
+        work = self.fleet.work_ms[row.kind] * row.units
         limiter.timed(
             limiter.core.arrive,
-            Caller(self, row, plan),
+            Caller(self, row),
             (row, work),
-            customer=row.tenant,
-            plan=plan,
+            customer=f"{row.customer:016x}",
+            plan=row.plan,
             kind=row.kind,
             expires_ms=kind.deadline_ms,
             units=row.units,
@@ -298,14 +251,16 @@
             retry=row.number > 0,
         )
 
-    def back(self, row: Row, plan: int) -> None:
+    def back(self, row: Row) -> None:
         """A refused client comes back when it was told to."""
         limiter = row.limiter
         if len(self.limiters) > 1 and self.of_clients.random() < self.clients.stray:
             limiter = int(self.of_clients.integers(0, len(self.limiters)))
-        again = Row(row.tenant, limiter, row.kind, row.units, row.number + 1, 0.0)
         late = float(self.of_clients.uniform(0.0, self.clients.jitter_ms))
-        self.kernel.after(row.retry_after_ms + late, self.ask, again, plan)
+        due = row.ended + row.retry_after_ms + late
+        again = replace(row, limiter=limiter, number=row.number + 1, due=due, at=-1.0, sent=-1.0, ended=-1.0)
+        again.verdict, again.retry_after_ms = "", 0.0  # `told_beyond` stays: no promise was made
+        self.kernel.at(START_MS + due, self.ask, again)
 
     def run(self, ms: float) -> None:
         """Let so much time pass from the start."""
@@ -320,80 +275,43 @@
 class Caller:
     """A client's side of one try."""
 
-    __slots__ = ("plan", "row", "world")
+    __slots__ = ("row", "world")
 
-    def __init__(self, world: World, row: Row, plan: int) -> None:
-        self.world, self.row, self.plan = world, row, plan
+    def __init__(self, world: World, row: Row) -> None:
+        self.world, self.row = world, row
 
     def answered(
         self, ticket: Ticket, verdict: Verdict, value: memoryview | None, retry_after_ms: float
     ) -> None:
         """The final answer; a client that obeys comes back once it may."""
-        row, clients = self.row, self.world.clients
+        row, clients, world = self.row, self.world.clients, self.world
         if row.verdict:
             raise AssertionError(f"two final answers: {row}")
-        row.ended, row.verdict, row.retry_after_ms = self.world.kernel.now, verdict.value, retry_after_ms
-        row.told_beyond = retry_after_ms >= self.world.settings.max_retry_after_ms
-        if verdict is Verdict.REFUSED and clients.obey and row.number + 1 < clients.tries and retry_after_ms:
-            self.world.back(row, self.plan)
-
-
-@dataclass
-class Waits:
-    """What some tenants' tries came to."""
-
-    tries: int = 0
-    served: int = 0
-    refused: int = 0
-    failed: int = 0
-    waits: list[float] = field(default_factory=list)  # from coming in to the first attempt
-    latencies: list[float] = field(default_factory=list)
-
-    def percentile(self, part: float) -> float:
-        """Of the waits, in milliseconds."""
-        return float(np.percentile(self.waits, 100 * part)) if self.waits else 0.0
-
-
-def waits(rows: Iterable[Row], chosen: Callable[[Row], bool] = lambda row: True) -> Waits:
-    """Add up rows."""
-    found = Waits()
-    for row in rows:
-        if not chosen(row):
-            continue
-        found.tries += 1
-        found.served += row.verdict == "served"
-        found.refused += row.verdict == "refused"
-        found.failed += row.verdict == "failed"
-        if row.sent >= 0:
-            found.waits.append(row.sent - row.at)
-        if row.verdict == "served":
-            found.latencies.append(row.ended - row.at)
-    return found
-
-
-@dataclass(frozen=True)
-class Returns:
-    """How honest the times to come back were."""
-
-    told: int  # refusals of first tries with a time that could be kept
-    beyond: int  # refusals whose honest time may not be said
-    came: int  # tries that came back when told
-    served: int
-
-    @property
-    def kept(self) -> float:
-        """The part of those who came back when told that got in."""
-        return self.served / self.came if self.came else 1.0
-
-
-def returns(rows: Iterable[Row], chosen: Callable[[Row], bool] = lambda row: True) -> Returns:
-    """Count refusals with a time, and what became of those who kept to it."""
-    told = beyond = came = served = 0
-    for row in rows:
-        if not chosen(row) or not row.verdict:
-            continue
-        if row.number == 0 and row.verdict == "refused":
-            told, beyond = told + (not row.told_beyond), beyond + row.told_beyond
-        if row.number == 1:
-            came, served = came + 1, served + (row.sent >= 0)
-    return Returns(told, beyond, came, served)
+        row.ended, row.verdict = world.kernel.now - START_MS, verdict.value
+        row.retry_after_ms = retry_after_ms
+        if verdict is Verdict.REFUSED:
+            row.told_beyond = retry_after_ms >= world.settings.max_retry_after_ms
+            if clients.obey and row.number + 1 < clients.tries and retry_after_ms:
+                world.back(row)
+
+
+def play(
+    experiment: Experiment, variant: Variant, progress: Callable[[float], None] = lambda part: None
+) -> World:
+    """Run one variant of an experiment in virtual time, to its end."""
+    fleet = experiment.fleet
+    world = World(
+        experiment.settings(variant),
+        seed=variant.seed,
+        door=experiment.door_settings(variant),
+        fleet=fleet,
+        clients=experiment.clients,
+        name=variant.name,
+    )
+    world.counter.service_ms = experiment.counter_ms
+    world.load(experiment.arrivals(variant))
+    until = 1000.0 * (experiment.seconds + experiment.settle_s)
+    for step in range(1, 101):
+        world.run(until * step / 100)
+        progress(step / 100)
+    return world
