Make promises in the fleet's own time, and learn the limit from servers at ease

Change: promises follow one another by what the fleet leaves the center; a time that is no promise is remembered as such; the base of a server takes requests of all sizes that met nothing else there, and leans on the fleet's mean.

--- a/scalelb/fairness/door.py
+++ b/scalelb/fairness/door.py
@@ -14,11 +14,15 @@
 from typing import Any, NamedTuple
 
 from scalelb.fairness.limit import GradientLimit
+from scalelb.fairness.meter import Mean, Meter
 from scalelb.fairness.promises import Ledger
 from scalelb.fairness.queue import SLACK, Entry, FairQueue
 from scalelb.fairness.settings import DoorSettings, FlowBy
 
 STRANGERS = "\0strangers"  # the flow of all that were not seen lately; no customer is named so
+CLAIMED = -1e9  # the rank of what comes back as promised: before all others of its flow
+PROMISED = 0.9  # of what a flow may expect that is promised to it: estimates are late
+RATE_MS, RATES_MOST = 5000.0, 256  # memory of rates; flows of which one is remembered
 LATENCY_WEIGHT = 0.05  # of the newest answer
 SPARSE = 2.0  # times the limit that may be out where a flow asks that has had less than its share
 
@@ -91,6 +95,9 @@
         self.out = 0.0  # units sent and not finished
         self.latency_ms = 0.0
         self.now = -inf
+        self.flow_rates: dict[str, Meter] = {}  # units passed on, by flow
+        self.all_rates: Meter | None = None
+        self.capacity = Mean(RATE_MS)  # units a second that the fleet can do for us
         self.tally = {"passed": 0, "held": 0, "late": 0, "crowded": 0, "reserved": 0, "overdue": 0}
 
     # What comes in
@@ -110,9 +117,10 @@
         sparse = flow not in self.queue.flows and self.queue.behind(flow)
         if (sparse or not self.queue) and not self._waits(flow) and self._room(ask.units, sparse):
             self.queue.charge(flow, weight, ask.units)
-            self._pass(held)
+            self._pass(held, now)
             return Outcome(Step.PASS)
-        if now + self._wait_ms(flow, ask.units, weight) > ask.latest and promise is None:
+        promised = self.ledger.before(ask.customer, ask.latest)
+        if promise is None and now + self._wait_ms(flow, ask.units + promised, weight) > ask.latest:
             self.tally["late"] += 1
             return Outcome(Step.REFUSE, self._come_back(now, ask, flow, credit))
         displaced = None
@@ -121,9 +129,8 @@
             displaced = self._crowded(flow, ask.units, weight)
             if displaced is None:
                 return Outcome(Step.REFUSE, self._come_back(now, ask, flow, credit))
-        held.entry = self.queue.push(
-            flow, weight, ask.units, held, -ask.worth, None if promise is None else promise.tag
-        )
+        rank, tag = (-ask.worth, None) if promise is None else (CLAIMED - ask.worth, promise.tag)
+        held.entry = self.queue.push(flow, weight, ask.units, held, rank, tag)
         if self._waits(flow):
             self.queue.park(flow)
         self.held[ask.ident] = held
@@ -171,6 +178,8 @@
         if good:
             weight = LATENCY_WEIGHT if self.latency_ms else 1.0
             self.latency_ms += weight * (latency_ms - self.latency_ms)
+        if self.latency_ms and self.queue:  # Little's law, while the fleet has as much as it may have
+            self.capacity.add(now, 1000.0 * self.out / self.latency_ms)
         self.limit.ended(now, server, latency_ms / max(size, 1e-6), load, self.out, good)
 
     def finished(self, ident: int) -> None:
@@ -209,7 +218,7 @@
             held = entry.item
             del self.held[held.ask.ident]
             held.entry = None
-            self._pass(held)
+            self._pass(held, now)
             out += held.ask.units
             released.append(held)
             if self._waits(held.flow):
@@ -293,7 +302,7 @@
     def _wait_ms(self, flow: str, units: float, weight: float) -> float:
         """How long a request of the flow will wait: its backlog at its share of what the fleet does, at most
         all that waits at the whole."""
-        rate = self.limit.limit / max(1.0, self.latency_ms)  # units a millisecond (Little's law)
+        rate = self._capacity() / 1000.0  # units a millisecond
         mine = self.queue.flows.get(flow)
         backlog, weights = units, self.queue.weights
         if mine is not None:
@@ -304,16 +313,16 @@
 
     def _come_back(self, now: float, ask: Ask, flow: str, credit: Credit | None) -> float:
         """When to come back: once the quota covers it, and the door's queue is through."""
-        weight = self._weight(flow, ask)
-        wait = self._wait_ms(flow, ask.units, weight) if self.queue else 0.0
+        rate, short = inf, -ask.units
+        if self.queue:
+            # What the fleet does for the flow; what waits of it, and what it was promised, comes before.
+            mine = self.queue.flows.get(flow)
+            rate, short = self._rate(flow, self._weight(flow, ask), now), mine.units if mine else 0.0
+        if credit is not None and credit.rate > 0 and (credit.rate < rate or -credit.hand > short):
+            rate, short = min(rate, credit.rate), max(short, -credit.hand)
+        if rate == inf:  # nothing is known that stands in the way: the servers had no room just now
+            rate = self._rate(flow, self._weight(flow, ask), now)
         tag = self.queue.virtual
-        if credit is None or credit.rate <= 0:
-            # A center's share of what the fleet does; what it was promised before comes first.
-            share = weight / max(weight, self.queue.weights + (flow not in self.queue.flows) * weight)
-            rate = 1000.0 * self.limit.limit / max(1.0, self.latency_ms) * share
-            short = wait * rate / 1000.0 - ask.units
-        else:
-            rate, short = credit.rate, max(-credit.hand, wait * credit.rate / 1000.0 - ask.units)
         told, _ = self.ledger.promise(
             ask.customer, now, ask.units, short, rate, self.most_retry_after_ms, tag
         )
@@ -330,7 +339,32 @@
         self._drop(held)
         return held
 
-    def _pass(self, held: Held) -> None:
+    def _rate(self, flow: str, weight: float, now: float) -> float:
+        """Units a second that a flow may expect: what the others leave of what the fleet can do, and its
+        share among all at the least.  What it was served itself would say less and less: a flow that is promised
+        less takes less."""
+        weights = weight + max(self.queue.weights, len(self.flow_rates))
+        mine = self.flow_rates[flow].rate(now) if flow in self.flow_rates else 0.0
+        others = max(0.0, self.all_rates.rate(now) - mine) if self.all_rates else 0.0
+        capacity = self._capacity()
+        return PROMISED * max(capacity * weight / weights, capacity - others)
+
+    def _capacity(self) -> float:
+        """Units a second that the fleet does for us."""
+        return max(1e-3, self.capacity.value or 1000.0 * self.limit.limit / max(1.0, self.latency_ms))
+
+    def _meter(self, held: Held, now: float) -> None:
+        """Something of a flow goes on."""
+        meter = self.flow_rates.pop(held.flow, None) or Meter(RATE_MS, now)
+        if len(self.flow_rates) >= RATES_MOST:  # guards the memory
+            del self.flow_rates[next(iter(self.flow_rates))]
+        self.flow_rates[held.flow] = meter  # the one that went on last stands last
+        self.all_rates = self.all_rates or Meter(RATE_MS, now)
+        meter.add(now, held.ask.units)
+        self.all_rates.add(now, held.ask.units)
+
+    def _pass(self, held: Held, now: float) -> None:
+        self._meter(held, now)
         self.inside[held.ask.ident] = held
         self.waiting[held.flow] = self.waiting.get(held.flow, 0) + 1
         self.tally["passed"] += 1
--- a/scalelb/fairness/promises.py
+++ b/scalelb/fairness/promises.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from bisect import bisect_right
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
 from math import inf
@@ -15,11 +16,13 @@
 
 @dataclass(slots=True)
 class Promise:
-    """Units that a flow was promised at a time; the start tag that it had then."""
+    """Units that a flow was promised at a time; the start tag that it had then.  One that is not `kept` was
+    only told a time: whoever comes back by it has no claim, and must not take another's."""
 
     due: float
     units: float
     tag: float
+    kept: bool = True
 
 
 @dataclass(slots=True, eq=False)
@@ -50,25 +53,27 @@
         account = self.accounts.get(flow)
         owed = account.units if account else 0.0
         wait = 1000.0 * max(0.0, short + owed + units) / rate if rate > 0 else inf
-        if account and account.promises:
-            wait = max(wait, account.promises[-1].due - now)
+        if account and account.promises and rate > 0:
+            # Guards the time after the last promise against everybody, where the rate or the backlog has
+            # since turned out better: they would all be told the same.
+            wait = max(wait, account.promises[-1].due - now + 1000.0 * units / rate)
         wait = max(1.0, wait)
-        if wait > most_ms:
-            self.tally["beyond"] += 1
-            return most_ms, False
+        kept = wait <= most_ms
+        wait = min(wait, most_ms)
         if self.count >= self.most:
             self.tally["full"] += 1
             return wait, False
         account = account or self.accounts.setdefault(flow, Account())
-        account.promises.append(Promise(now + wait, units, tag))
-        account.units += units
+        account.promises.append(Promise(now + wait, units, tag, kept))
+        account.units += units * kept
         self.count += 1
-        self.tally["made"] += 1
+        self.tally["made" if kept else "beyond"] += 1
         heappush(self.lapses, (now + wait + self.grace_ms, flow))
-        return wait, True
+        return wait, kept
 
     def claim(self, flow: str, now: float, units: float) -> Promise | None:
-        """Take the oldest promise that is due and covers the units, or else the oldest that is due."""
+        """Take what was told to whoever comes back now: of the oldest that are due the first of as many
+        units, or else the oldest.  Nothing where that was no promise."""
         account = self.accounts.get(flow)
         if account is None or not account.promises or account.promises[0].due > now + self.early_ms:
             return None
@@ -76,14 +81,14 @@
         for place, promise in enumerate(account.promises):
             if promise.due > now + self.early_ms or place >= 8:
                 break
-            if promise.units >= units:
+            if promise.units == units:
                 found = place
                 break
         promise = account.promises[found]
         del account.promises[found]
         self._less(flow, account, promise)
-        self.tally["claimed"] += 1
-        return promise
+        self.tally["claimed"] += promise.kept
+        return promise if promise.kept else None
 
     def owed(self, flow: str, now: float) -> tuple[float, float, float]:
         """Units that are due by now, all units promised, and when the last of them is due."""
@@ -94,20 +99,29 @@
         for promise in account.promises:
             if promise.due > now + self.early_ms:
                 break
-            due += promise.units
+            due += promise.units * promise.kept
         return due, account.units, account.promises[-1].due
 
+    def before(self, flow: str, until: float) -> float:
+        """Units that a flow was promised for before a time, about: O(log n)."""
+        account = self.accounts.get(flow)
+        if account is None:
+            return 0.0
+        count = bisect_right(account.promises, until, key=lambda promise: promise.due)
+        return account.units * count / len(account.promises)
+
     def lapse(self, now: float) -> None:
         """Give back what nobody claimed in time."""
         while self.lapses and self.lapses[0][0] <= now:
             _, flow = heappop(self.lapses)
             account = self.accounts.get(flow)
             while account and account.promises and account.promises[0].due + self.grace_ms <= now:
-                self._less(flow, account, account.promises.pop(0))
-                self.tally["lapsed"] += 1
+                lapsed = account.promises.pop(0)
+                self._less(flow, account, lapsed)
+                self.tally["lapsed"] += lapsed.kept
 
     def _less(self, flow: str, account: Account, promise: Promise) -> None:
         self.count -= 1
-        account.units -= promise.units
+        account.units -= promise.units * promise.kept
         if not account.promises:
             del self.accounts[flow]
--- a/scalelb/fairness/settings.py
+++ b/scalelb/fairness/settings.py
@@ -30,7 +30,7 @@
     start_units: float = 64.0  # let in at once before any answer was seen
     least_units: float = 12.0
     most_units: float = 4096.0
-    tolerance: float = 1.1  # latency over what it is at ease at which the limit stops growing
+    tolerance: float = 0.9  # latency over what it is at ease at which the limit stops growing
     plan_rates: tuple[float, ...] = field(default=(), compare=False)
 
     def __post_init__(self) -> None:
@@ -41,8 +41,8 @@
         for name in ("held_most", "waiting_most", "promises_most"):
             if getattr(self, name) < 1:
                 raise ValueError(f"{name} must be at least 1, not {getattr(self, name)!r}")
-        if not 1.0 <= self.tolerance < 10.0:
-            raise ValueError(f"tolerance must be at least 1 and under 10, not {self.tolerance!r}")
+        if not 0.5 <= self.tolerance < 10.0:
+            raise ValueError(f"tolerance must be at least 0.5 and under 10, not {self.tolerance!r}")
         if not self.least_units <= self.start_units <= self.most_units:
             raise ValueError("start_units must lie between least_units and most_units")
         for place, weight in enumerate(self.weights):
--- a/scalelb/program/config.py
+++ b/scalelb/program/config.py
@@ -323,7 +323,7 @@
         least_units=limit.number("least_units", settings.most_units or 1.0, usual.least_units),
         start_units=limit.number("start_units", settings.most_units or 1.0, usual.start_units),
         most_units=limit.number("most_units", settings.most_units or 1.0, usual.most_units),
-        tolerance=limit.number("tolerance", 1.0, usual.tolerance),
+        tolerance=limit.number("tolerance", 0.5, usual.tolerance),
         plan_rates=rates,
     )
     return read if door.flag("on", False) else None
@@ -336,7 +336,7 @@
     if not least <= start <= most:
         where = limit.at("start_units")
         raise ConfigError(f"{where}: must lie between least_units and most_units, not {start:g}")
-    if (tolerance := limit.number("tolerance", 1.0, usual.tolerance)) >= 10:
+    if (tolerance := limit.number("tolerance", 0.5, usual.tolerance)) >= 10:
         raise ConfigError(f"{limit.at('tolerance')}: must be under 10, not {tolerance:g}")
 
 
--- a/scalelb/routing/core.py
+++ b/scalelb/routing/core.py
@@ -68,7 +68,7 @@
         self.ident, self.caller, self.payload, self.expires = ident, caller, payload, expires
         self.client = ""  # whose connection it came by
         self.size = 1.0  # how long it takes, against a mean request
-        self.load = 0.0  # what its server had of us when it was sent, with it
+        self.load = 0.0  # what else its server had of us when it was sent
         self.attempt = -1  # the newest
         self.out = False  # whether it is out
         self.sent = 0.0  # when it began
@@ -414,7 +414,8 @@
         if self.door is not None:
             self.door.sent(ticket.ident)
             server = self.gateway.servers.get(action.server)
-            ticket.load = server.load if server is not None else 0.0
+            own = 2.0 * ticket.size - 1.0
+            ticket.load = server.load - own if server is not None else 0.0
         self.ports.fetch(ticket, action.server, patience)
 
     def _give_up(self, ticket: Ticket, outcome: io.Outcome) -> None:
