--- a/scalelb/fairness/door.py
+++ b/scalelb/fairness/door.py
@@ -341,8 +341,8 @@
 
     def _rate(self, flow: str, weight: float, now: float) -> float:
         """Units a second that a flow may expect: what the others leave of what the fleet can do, and its
-        share among all at the least.  What it was served itself would say less and less: a flow that is promised
-        less takes less."""
+        share among all at the least.  What it was served itself would say less and less: a flow that is
+        promised less takes less."""
         weights = weight + max(self.queue.weights, len(self.flow_rates))
         mine = self.flow_rates[flow].rate(now) if flow in self.flow_rates else 0.0
         others = max(0.0, self.all_rates.rate(now) - mine) if self.all_rates else 0.0
