--- a/scalelb/routing/core.py
+++ b/scalelb/routing/core.py
@@ -191,8 +191,7 @@
         if not ticket.done:
             self._close(ticket)
             self._note("gone")
-            if self.door is None or not self.door.gone(ticket.ident):
-                self.inbox.append(io.RequestGone(ticket.ident))
+            self._left(ticket)
             self._soon()
 
     def fetched(
@@ -247,8 +246,7 @@
             # Guards the rule of one final answer, should the decisions have left a request unanswered.
             if not ticket.done and not ticket.out:
                 self._answer(ticket, Verdict.FAILED)
-                if self.door is None or not self.door.gone(ticket.ident):
-                    self.inbox.append(io.RequestGone(ticket.ident))
+                self._left(ticket)
                 self._note("overdue")
         if self.inbox:
             self._soon()
@@ -301,8 +299,7 @@
         if ticket is None or ticket.done:
             return
         due = now + min(kind.aim_ms, event.expires_in_ms)
-        told = gateway.credit(event.customer, now)
-        credit = Credit(*told) if told is not None else None
+        credit = self._credit(event.customer, now)
         ask = Ask(
             ident=event.request,
             customer=event.customer,
@@ -324,6 +321,15 @@
         elif step is Step.REFUSE:
             self._turn_away(event.request, advice)
 
+    def _credit(self, customer: str, now: float) -> Credit | None:
+        told = self.gateway.credit(customer, now)
+        return Credit(*told) if told is not None else None
+
+    def _left(self, ticket: Ticket) -> None:
+        """Whoever has the request, door or decisions, lets go of it."""
+        if self.door is None or not self.door.gone(ticket.ident):
+            self.inbox.append(io.RequestGone(ticket.ident))
+
     def _turn_away(self, ident: int, advice: float) -> None:
         """Refuse what never met the decisions: nothing of it was charged or sent."""
         self._note("turned away")
@@ -392,8 +398,7 @@
         """When to come back: where there is a door, it makes a promise of what the decisions advise."""
         if self.door is None or not self.settings.retry_after or action.request not in self.door.inside:
             return action.retry_after_ms
-        told = self.gateway.credit(self.door.inside[action.request].ask.customer, now)
-        credit = Credit(*told) if told is not None else None
+        credit = self._credit(self.door.inside[action.request].ask.customer, now)
         return self.door.refused(now, action.request, credit, action.retry_after_ms)
 
     def _send(self, action: io.SendAttempt, now: float) -> None:
