--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -37,8 +37,8 @@
 
 
 def test_one_silence_is_remembered_until_the_next_look() -> None:
-    # Seen with 40 limiters: an answer in 5 s, marks that fade in 5 s and weigh a fifth; the bad were found out
-    # by each of them, without end.
+    # Seen with 40 limiters: an answer in 5 s, marks that fade in 5 s and weigh a fifth; the bad were found
+    # out by each of them, without end.
     server = next(iter(Driver(count=1).gateway.servers.values()))
     lasts = health.memory(90.0, 60)
     health.judge(server, 0.0, io.Outcome.TIMEOUT, 1500.0, 170.0, lasts)
