Derive when a customer's window began from its number; say once what a store holds

Cause: `Customer.since` was kept beside `window`, which it follows from, and `Record` keeps the number alone. A customer that was let go and came back within its window had since = 0: `ledger.fill` took its store for full since the beginning of time and took all of that off the counter. Found on reading the change again; reproduced in virtual time: 3,021 units taken off a store of 13 (`test_a_customer_that_was_let_go_comes_back_to_the_same_store` fails on the commit before).

Change: `since` is gone, `ledger.began` derives it. Written again and now said once: what a store holds by the last word (`Customer.filled`, five places), this door's part of it while the counter speaks (`Gateway._told`, two), the mean units before any has told (`ledger.mean_units`, two), a failed connect being free (`free`, three tests of one outcome). `ledger.fill` no longer returns `c.asked` to the caller that has it; a bound in `Pace.pause` that nothing reaches is out.

--- a/scalelb/routing/control.py
+++ b/scalelb/routing/control.py
@@ -48,7 +48,7 @@
                 raise ValueError(f"{name} must be above 0")
         super().__init__(records=Records(random.Random(f"records {seed}").randbytes(16)))
         self.settings, self.aim = settings, min(kind.aim_ms for kind in settings.classes)
-        self.usual, self.mean = 0.1 * self.aim, max(1.0, settings.most_units / 2)  # latency, units
+        self.usual, self.mean = 0.1 * self.aim, ledger.mean_units(settings)  # latency, units
         self.random, self.retries = random.Random(seed), 1.0  # further attempts in store
         self.worth, self.ask, self.open = settings.classes[0].worth, 1.0, 1.0  # counter asked; let in
         self.deciders: dict[type, Callable[[float, Any], None]] = {
@@ -109,8 +109,8 @@
 
     def _trim(self, c: Customer, now: float) -> None:
         """Give up at once what neither the credit nor the cap on attempts lets go in time."""
-        told = 0.0 if self.backoff else c.told(now)
-        ahead, place = 0.0 if c.shared else -c.balance - max(c.block, told / c.doors), c.out
+        ahead = 0.0 if c.shared else -c.balance - max(c.block, self._told(c, now))
+        place = c.out
         for request in list(c.queue):
             most = c.reach(self._latest(request)) - request.units + 1e-6
             most = most if c.shared else max(c.plan.rate * HOLD * request.kind.aim_ms / 1000, c.estimate)
@@ -121,6 +121,9 @@
             else:
                 ahead, place = ahead + request.units * (not request.sends), place + 1
 
+    def _told(self, c: Customer, now: float) -> float:
+        return 0.0 if self.backoff else c.told(now) / (1 if c.shared else c.doors)  # for this door
+
     def _rouse(self, c: Customer, at: float) -> None:
         self.active[c.name], c.wake, self.wake = c, min(c.wake, at), min(self.wake, at)
 
@@ -157,8 +160,7 @@
         this door's share of the rate, units/s; nothing of one that is not known or has no quota."""
         if (c := self.customers.get(customer)) is None or not c.plan.rate:
             return None
-        store = (0.0 if self.backoff else c.told(now)) / (1 if c.shared else c.doors)
-        return c.balance + max(c.block, store) - c.queued, c.plan.rate / c.doors
+        return c.balance + max(c.block, self._told(c, now)) - c.queued, c.plan.rate / c.doors
 
     def need(self, kind: io.RequestClass) -> float:
         """Milliseconds of the aim that must be left when a request is sent."""
@@ -392,13 +394,13 @@
             return
         if e.outcome not in NEVER_RAN and not request.ran:
             request.ran, request.ran_at, request.ran_on = True, attempt.sent, server.info
-        spent = request.sends >= self.settings.attempt_limit or self.retries < 1
-        spent &= e.outcome is not io.Outcome.CONNECT_FAILED or request.sends >= self.settings.attempt_limit
+        free = e.outcome is io.Outcome.CONNECT_FAILED  # nothing reached a server
+        spent = request.sends >= self.settings.attempt_limit or (self.retries < 1 and not free)
         spent |= e.outcome is io.Outcome.TIMEOUT and self.random.random() > self.open  # guards a jam
         if spent or now > self._latest(request) or (request.ran and request.kind.effect is io.Effect.UNSAFE):
             self._end(request)
         else:
-            self.retries -= e.outcome is not io.Outcome.CONNECT_FAILED  # nothing reached a server
+            self.retries -= not free
             if not self._send(request, now):
                 self._enqueue(request, now)
 
@@ -458,8 +460,7 @@
         ahead = 0.0 if c.shared else max(AHEAD * c.estimate, c.demand * AHEAD_S)
         ask = max(0.0, c.queued + min(ahead, max(c.room() / c.doors, c.estimate)) - hand) * (not covered)
         if c.window >= 0:
-            store = min(c.room(), c.store + rate * (now - c.store_at) / 1000)
-            ask = max(0.0, min(ask, store + rate * HOLD * self.aim / 1000))
+            ask = max(0.0, min(ask, min(c.room(), c.filled(now)) + rate * HOLD * self.aim / 1000))
             if ask < min(c.estimate, c.queued - hand if c.shared else inf) and abs(c.unreported) < owed:
                 return
         self._call(c, now, ask)
@@ -504,10 +505,10 @@
         # Guards the store after a silence: what was credited blind came out of what the rate brought in
         # meanwhile.  Taken from a store that is full again instead, seconds of good credit were refused.
         blind, c.blind = max(0.0, min(c.blind, c.amount - c.asked)), 0.0
-        filled = c.store + c.plan.rate * max(0.0, now - c.store_at) / 1000 - others - blind
+        filled = c.filled(now) - others - blind
         kept, amount = c.room(), c.amount - blind
         if c.shared:
-            filled, amount = ledger.fill(c, now, total)
+            filled, amount = ledger.fill(c, now, total), c.asked
         c.store, c.store_at, c.total = min(kept, filled) - amount, now, total
         # Kept: what rate times window plus burst covers, or will cover in time; the rest goes back.
         c.broke, short = c.store < 0, min(max(0.0, c.asked), max(0.0, -c.store))
--- a/scalelb/routing/ledger.py
+++ b/scalelb/routing/ledger.py
@@ -21,20 +21,32 @@
 SPARE = 0.5  # units never lent: guards what is sent a moment before the rate has quite covered it
 
 
+def mean_units(settings: io.Settings) -> float:
+    """Units of a request, before any has told."""
+    return max(1.0, settings.most_units / 2)
+
+
 def shared(plan: io.Plan, doors: int, settings: io.Settings) -> bool:
     """Whether a customer's doors keep one store: a mean request at each would empty it.
 
     Follows from the settings and the customer's `spread` alone, so that all its doors agree."""
-    mean = max(1.0, settings.most_units / 2)
-    return settings.counter and plan.rate > 0 and doors * mean > plan.burst > 0
+    return settings.counter and plan.rate > 0 and doors * mean_units(settings) > plan.burst > 0
 
 
 def window(name: str, now: float) -> tuple[int, float]:
     """The number of the customer's window at `now` (ms) and when it began.  Guards the counter: the windows
     of all customers would else turn at once, and all doors with them."""
-    phase = crc32(name.encode()) % int(WINDOW_MS)
-    number = int((now + phase) // WINDOW_MS)
-    return number, number * WINDOW_MS - phase
+    number = int((now + _phase(name)) // WINDOW_MS)
+    return number, began(name, number)
+
+
+def began(name: str, number: int) -> float:
+    """When a customer's window began (ms)."""
+    return number * WINDOW_MS - _phase(name)
+
+
+def _phase(name: str) -> int:
+    return crc32(name.encode()) % int(WINDOW_MS)
 
 
 def name(customer: str, number: int) -> int:
@@ -47,9 +59,9 @@
     return plan.burst - min(SPARE, plan.burst / 4)
 
 
-def left(plan: io.Plan, began: float, now: float, total: float) -> float:
+def left(plan: io.Plan, since: float, now: float, total: float) -> float:
     """Units in the store at `now` when `total` was taken since the window began; over `brim`: run over."""
-    return brim(plan) + plan.rate * max(0.0, now - began) / 1000 - total
+    return brim(plan) + plan.rate * max(0.0, now - since) / 1000 - total
 
 
 def first(c: Customer, total: float) -> bool:
@@ -66,15 +78,16 @@
     had been taken there.  Returns the new one's total with it.  Guards the quota: each turn would else hand
     out the burst anew."""
     c.reading = False
-    lacked = max(0.0, brim(c.plan) - left(c.plan, c.since - WINDOW_MS, c.since, total))
+    since = began(c.name, c.window)
+    lacked = max(0.0, brim(c.plan) - left(c.plan, since - WINDOW_MS, since, total))
     c.unreported += lacked
     return c.total + lacked
 
 
-def fill(c: Customer, now: float, total: float) -> tuple[float, float]:
-    """What the store held before what was asked for, and what of the last call was taken from it.  What was
-    given back, taken off or granted unseen stays added; only what is asked for is new."""
-    filled = left(c.plan, c.since, now, total) + c.asked
+def fill(c: Customer, now: float, total: float) -> float:
+    """What the store held before what was asked for.  What was given back, taken off or granted unseen stays
+    added; only what is asked for is new."""
+    filled = left(c.plan, began(c.name, c.window), now, total) + c.asked
     over, c.over = c.over, 0.0
     # Guards the customer: two doors that saw the same overflow have both taken it off, at a window's begin
     # all that the rate has brought since.  Who finds the store lower than it left it undoes its own part.
@@ -84,4 +97,4 @@
     elif filled - brim(c.plan) > BRIM * c.plan.burst:
         c.over = filled - brim(c.plan)
         c.unreported += c.over
-    return filled, c.asked
+    return filled
--- a/scalelb/routing/state.py
+++ b/scalelb/routing/state.py
@@ -62,7 +62,6 @@
     store_at: float = 0.0
     total: float = 0.0
     window: int = -1  # of the last call
-    since: float = 0.0  # when that began
     unread: bool = False  # nothing of it is known yet
     reading: bool = False  # what the window before left
     over: float = 0.0  # taken off with the call in flight, as it has run over the brim
@@ -92,19 +91,21 @@
         """The count's window.  A new one began at nothing, with what the store held by the last word."""
         if window == self.window:
             return
-        self.store = min(self.room(), self.store + self.plan.rate * max(0.0, began - self.store_at) / 1000)
-        self.window, self.total, self.store_at, self.since = window, 0.0, began, began
+        self.store = min(self.room(), self.filled(began))
+        self.window, self.total, self.store_at = window, 0.0, began
         self.unread, self.reading = True, False
 
+    def filled(self, at: float) -> float:
+        """What the store holds then by the counter's last word, without a bound."""
+        return self.store + self.plan.rate * max(0.0, at - self.store_at) / 1000
+
     def told(self, now: float) -> float:
         """What the counter's last word leaves of the store for all doors, at least nothing."""
-        filled = self.store + self.plan.rate * max(0.0, now - self.store_at) / 1000
-        return max(0.0, min(self.room(), filled)) if self.window >= 0 else 0.0
+        return max(0.0, min(self.room(), self.filled(now))) if self.window >= 0 else 0.0
 
     def reach(self, at: float) -> float:
         """The most units that a shared store can have for this door until then, by the counter's word."""
-        filled = self.store + self.plan.rate * max(0.0, at - self.store_at) / 1000
-        return self.balance + self.block + min(self.plan.burst, filled)
+        return self.balance + self.block + min(self.plan.burst, self.filled(at))
 
     def give_back(self) -> None:
         """What is on hand goes back to the store, with the next call."""
@@ -125,7 +126,7 @@
         """What is to be kept of it.  Its store is full again once the rate has covered what is missing,
         by the counter's last word and by what this door has on hand."""
         rate, room = self.plan.rate, self.room()
-        told = min(room, self.store + rate * max(0.0, now - self.store_at) / 1000) - max(0.0, self.unreported)
+        told = min(room, self.filled(now)) - max(0.0, self.unreported)
         missing = room - (told if self.shared else min(told, (self.balance + self.block) * self.doors))
         full_at = now + 1000 * max(0.0, missing) / rate if rate else now
         if self.plan.ceiling_rate:
--- a/scalelb/transport/pace.py
+++ b/scalelb/transport/pace.py
@@ -41,6 +41,6 @@
         """Until the next call, as one was refused or its connection has ended."""
         if self.times:
             mean = 1000 * self.limiters / AGAIN_PER_S * (LONGEST if self.times > 1 else 1.0)
-            return max(SOON_MS, mean * (0.5 + self.random.random()))
+            return mean * (0.5 + self.random.random())
         pause, self.soon = self.soon, min(OFTEN_MS, 2 * self.soon)
         return pause
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -480,10 +480,11 @@
     answer(d, 2.0)
     answer(d, 0.0)
     customer = d.gateway.customers["ada"]
+    full = ledger.left(METERED, ledger.began("ada", customer.window), d.now, 0.0)
     d.ask("ada", doors=200)
-    answer(d, ledger.left(METERED, customer.since, d.now, 0.0) + 9.0)
+    answer(d, full + 9.0)
     while customer.calling:  # what it could not use goes back
-        answer(d, ledger.left(METERED, customer.since, d.now, 0.0) + 7.0)
+        answer(d, full + 7.0)
     assert customer.broke and not customer.queue
     d.wait(4000.0)  # by its own word alone there would be credit again
     before = len(d.sends())
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -95,3 +95,21 @@
     number, began = ledger.window("c0", fleet.now)
     store = ledger.left(PLAN, began, fleet.now, fleet.counted[ledger.name("c0", number)])
     assert abs(store - fleet.store("c0", PLAN)) < PLAN.burst / 2
+
+
+def test_a_customer_that_was_let_go_comes_back_to_the_same_store() -> None:
+    # Guards the quota and the counter: a record keeps the window's number, not when it began; taken for the
+    # beginning of time, the store was full for decades, and all of that was taken off.
+    fleet = Fleet(40, plans=(PLAN,))
+    while fleet.now - ledger.window("c0", fleet.now)[1] > 1000.0:
+        fleet.run(500.0)
+    for door in range(4):
+        fleet.ask("c0", door, 3.0)
+        fleet.run(100.0)
+    fleet.run(500.0)
+    gateway = fleet.gateways[3]
+    gateway._part(gateway.customers["c0"], fleet.now)
+    assert "c0" not in gateway.customers and gateway.knows("c0")
+    fleet.ask("c0", 3, 1.0)
+    fleet.run(200.0)
+    assert max(abs(total) for total in fleet.counted.values()) < 2 * PLAN.burst
