--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -408,7 +408,7 @@
 
 
 def test_the_agent_of_this_machine_is_asked_at_once_and_again_when_it_is_silent() -> None:
-    # Seen at a release of 214 limiters: n5 began with a list and asked up to 21 s later, while 15 more backends
+    # Seen at a release of 214 limiters: n5 had a list and asked up to 21 s later, while 15 more backends
     # drained. The second wait: what a held call would have brought counts as told 2 s after the hold.
     stage = Stage(generation=7, gateways=214)
     stage.play("""
