--- a/scalelb/routing/control.py
+++ b/scalelb/routing/control.py
@@ -329,7 +329,7 @@
         return True
 
     def _pick(self, request: Request, now: float) -> Server | None:
-        """Gage's node scheduler among a few servers drawn by size, as hundreds of gateways would choose alike:
+        """Gage's node scheduler among a few servers drawn by size, as hundreds would choose alike:
         least outstanding load against capacity, corrected by health and by what a new connection costs."""
         best, lowest, load = None, inf, request.units / self.mean
         lasts, idle = health.memory(self.gap, len(self.servers)), REST * self.settings.idle_ms
