Say once which connections to a backend are taken to be free

Cause: health.sent and health.looks each wrote out the same test of a connection's rest, so a change to one could leave the other behind. Change: both call health.free.

--- a/scalelb/routing/health.py
+++ b/scalelb/routing/health.py
@@ -39,9 +39,14 @@
     s.down = now + min(DOWN_MS[1], DOWN_MS[0] * 2 ** (s.misses - 1)) if s.misses else 0.0
 
 
+def free(s: Server, now: float, idle_ms: float) -> int:
+    """How many connections to it should be open and free; those that have rested for `idle_ms` are closed."""
+    return s.ready if now - s.used < idle_ms else 0
+
+
 def sent(s: Server, now: float, idle_ms: float) -> None:
     """An attempt goes to it: on a free connection, if one is left, else on a new one."""
-    s.ready = max(0, s.ready - 1) if now - s.used < idle_ms else 0
+    s.ready = max(0, free(s, now, idle_ms) - 1)
 
 
 def looks(
@@ -51,7 +56,7 @@
     fade = exp((s.marked - now) / lasts)
     failing = s.failing * fade + (s.info.server == tried)
     slow = (usual + (s.latency - usual) * fade) * (1 + FAIL_COST * failing)
-    slow += 0.0 if s.ready and now - s.used < idle_ms else opening
+    slow += 0.0 if free(s, now, idle_ms) else opening
     return slow * (DOWN_COST if now < s.down else 1.0)
 
 
