Let decisions and pool go by one figure for how long a connection rests

Cause: the pool keeps an idle connection for half of conn-idle-ms; the module, which counts those connections when it chooses a backend, had that half as a constant of its own (REST). Whoever changed one would have had the module prefer backends whose connections are closed. Change: interface.REST, read by both; the figure is the same.

--- a/scalelb/program/loop.py
+++ b/scalelb/program/loop.py
@@ -36,7 +36,7 @@
             connections=config.connections_most,
             each=each,
             connect_ms=config.connect_timeout_ms,
-            idle_ms=config.conn_idle_ms / 2,
+            idle_ms=io.REST * config.conn_idle_ms,
         )
         self.pool = Pool(reactor, clock, log, pool)
         self.counter: CounterClient | None = None
--- a/scalelb/routing/control.py
+++ b/scalelb/routing/control.py
@@ -30,7 +30,7 @@
 START_LIMIT, LEAST_LIMIT = 2.0, 0.2  # mean requests out at a server: before its answers tell more; and ever
 GROW_BELOW, CUT_ABOVE, CUT = 0.2, 0.3, 0.7  # parts of the aim between which a limit stays; the cut
 LATE, SHUT, OPEN, REOPEN, LEAST = 0.5, 0.85, 0.05, 1.05, 0.005  # of the aim: late; steps of the door
-CHOICES, FAR, JITTER, REST = 8, 1.02, 0.1, 0.5  # servers drawn; another zone; chance; connections kept
+CHOICES, FAR, JITTER = 8, 1.02, 0.1  # servers drawn; another zone looks slower; chance
 KEEP, SAVED, CARRIED_MS = 0.4, 0.5, 10_000.0  # of a cold server's budget; of its window; memory
 RETRY_EARN, RETRY_STORE = 0.2, 10.0  # further attempts for each first one; and in store
 HOT_MOST, VISITS = 2048, 256  # customers known in full; visited in one turn of house-keeping
@@ -299,7 +299,7 @@
         self.attempts[request.ident, request.sends] = attempt
         request.sends, request.tried = request.sends + 1, server.info.server
         server.load, c.out = server.load + attempt.load, c.out + 1
-        health.sent(server, now, REST * self.settings.idle_ms)
+        health.sent(server, now, io.REST * self.settings.idle_ms)
         if first:
             self._charge(request, now, charge)
             self.retries = min(RETRY_STORE, self.retries + RETRY_EARN)
@@ -332,7 +332,7 @@
         """Gage's node scheduler among a few servers drawn by size, as hundreds would choose alike:
         least outstanding load against capacity, corrected by health and by what a new connection costs."""
         best, lowest, load = None, inf, request.units / self.mean
-        lasts, idle = health.memory(self.gap, len(self.servers)), REST * self.settings.idle_ms
+        lasts, idle = health.memory(self.gap, len(self.servers)), io.REST * self.settings.idle_ms
         opening = self.settings.handshake * request.kind.aim_ms  # its worth is lost over that time
         pool, sizes, cold = self.serving, self.sizes, self._admit(request, now) if self.cold else []
         if request.ran and request.kind.effect is not io.Effect.SAFE:
--- a/scalelb/routing/interface.py
+++ b/scalelb/routing/interface.py
@@ -48,6 +48,11 @@
     MOOT = "moot"  # never sent
 
 
+# Of the time after which a server closes an idle connection: ours rest no longer.  The decisions count the
+# connections that the pool keeps, so both go by it.
+REST = 0.5
+
+
 @dataclass(frozen=True, slots=True)
 class RequestClass:
     """One class of requests."""
