Take the platform's socket over from the life before; open a door for operators

Cause: every limiter ended with status 2 on an upgrade ('Address already in use' in program/__main__.py listen): the clients' socket is held by the platform and named in EDGE_FD, which nothing read; nobody listened at the second address. Ruled out: the time of the start (0.4 s) and the director (the first life listens as before).

--- a/scalelb/fairness/records.py
+++ b/scalelb/fairness/records.py
@@ -32,6 +32,8 @@
     window: int  # -1: none
     at: float  # when it was let go
     full_at: float  # when its store is full again
+    out: int = 0  # attempts of it that another life of this limiter still has out
+    out_until: float = 0.0  # and when they are taken to be back
 
 
 class Table:
@@ -87,6 +89,7 @@
         self.tables: list[Table] = []
         self.base = 0.0
         self.given_way_until = 0.0  # whoever is not known before then has an empty store
+        self.left: dict[str, Record] = {}  # whole, from the life of this limiter that went before
         self.swept = 0  # ticks, of the sweep under way
         self.sweeping: Iterator[None] = iter(())
 
@@ -137,6 +140,8 @@
 
     def take(self, name: str, now: float) -> Record | None:
         """Take a record out; nothing where there is none, or its store is full again."""
+        if self.left and (whole := self.left.pop(name, None)) is not None:
+            return whole if max(whole.full_at, whole.out_until) > now else None
         marked = self._hash(name) if self.tables else 0
         for table in self.tables:
             if (place := table.find(marked)) >= 0:
@@ -151,6 +156,8 @@
 
     def knows(self, name: str) -> bool:
         """Whether there is a record of it."""
+        if name in self.left:
+            return True
         if not self.tables:
             return False
         marked = self._hash(name)
@@ -158,6 +165,8 @@
 
     def sweep(self, now: float, places: int) -> None:
         """Drop what is full again among the next places, and the last table once it is empty."""
+        for name in [n for n, r in islice(self.left.items(), places) if max(r.full_at, r.out_until) <= now]:
+            del self.left[name]
         if not self.tables:
             return
         if next(self.sweeping, self) is self:
--- a/scalelb/program/__main__.py
+++ b/scalelb/program/__main__.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import gc
+import os
 import resource
 import signal
+import socket
 import sys
 from collections.abc import Callable, Coroutine
 from dataclasses import replace
@@ -17,7 +19,10 @@
 from scalelb.program.config import Config, ConfigError, compare, read_config
 from scalelb.program.log import Bounded, log
 from scalelb.program.loop import Loop, unix_clock
+from scalelb.program.succession import Succession
 from scalelb.protocol.agentcheck import Status
+from scalelb.routing.handover import take_in, take_out
+from scalelb.transport.admin import AdminDoor
 from scalelb.transport.director import DirectorWatch
 from scalelb.transport.pace import Pace
 from scalelb.transport.session import Door
@@ -29,6 +34,8 @@
 
 SWEEP_S, SWEEP_FULL_S, TALLY_S = 0.25, 0.03, 5.0  # house-keeping; while new clients wait; log
 KNOWN_S = 0.6  # how long the director's first word is waited for where an old list is known
+TAKE_OVER_S, TAKE_OVER_LOOK_S = 2.0, 0.01  # a life that was told to go leaves within it; between two looks
+OVERLAP_S = 4.0  # that two lives may run at once: the longest deadline, 3 s at most, and 0.7 s
 OPEN_S = 0.005  # the loop has waited once by then
 LINGER_S = 0.7  # how long a stopping limiter takes what comes: the front has not noticed yet
 BACKLOG = 512
@@ -58,7 +65,16 @@
             held_most=config.held_most,
             clients_most=config.sockets // 3,
             keyed=bool(fronts.external_authorization),
+            figures=self.loop.figures,
         )
+        self.succession: Succession | None = None
+        if config.shared:
+            self.succession = Succession(config.shared, log)
+            self.succession.enter()
+            self.join_bans()
+            self.succession.clear()
+        self.waiting = 0.0  # since when the life before is waited for (s of the reactor)
+        self.admin: AdminDoor | None = None
         if fronts.external_authorization or fronts.grpc_health:
             from scalelb.transport.authz.front import Authorization, GrpcFront
 
@@ -75,8 +91,16 @@
 
     def listen(self) -> None:
         """Bind the addresses."""
-        host, port = host_port(self.config.listen)
-        self.door.port = self.reactor.listenTCP(port, self.door, BACKLOG, host)
+        if self.succession is not None and self.succession.before and self.config.inherited is not None:
+            self.halve()
+            self.waiting = self.reactor.seconds()
+            self.take_over()
+        else:
+            self.accept()
+        if self.config.admin:
+            host, port = host_port(self.config.admin)
+            self.admin = AdminDoor(self.reactor, self, self.log)
+            self.ports["admin"] = self.reactor.listenTCP(port, self.admin, BACKLOG, host)
         fronts = self.config.fronts
         for name, address in (("agent_check", fronts.agent_check), ("http_health", fronts.http_health)):
             if address:
@@ -84,7 +108,107 @@
                 factory = StatusFactory(self.reactor, self.tell_status, self.log, agent=name == "agent_check")
                 self.ports[name] = self.reactor.listenTCP(port, factory, BACKLOG, host)
         told = {name: port.getHost().port for name, port in self.ports.items()}
-        self.log("started", name=self.config.name, port=self.door.port.getHost().port, fronts=told)
+        door = self.door.port
+        bound = door.getHost().port if door is not None else None
+        self.log("started", name=self.config.name, port=bound, fronts=told)
+
+    def accept(self) -> None:
+        """Let clients come: on the platform's socket where it has handed one over, else on one of our own."""
+        heir = self.config.inherited
+        if heir is None:
+            host, port = host_port(self.config.listen)
+            self.door.port = self.reactor.listenTCP(port, self.door, BACKLOG, host)
+            return
+        with socket.socket(fileno=os.dup(heir)) as held:
+            held.setblocking(False)
+            self.door.port = self.reactor.adoptStreamPort(held.fileno(), held.family, self.door)
+
+    # Two lives of one limiter
+
+    def take_over(self) -> None:
+        """Accept clients once the life before takes nothing new, is over, or can't be waited for any more.
+        Guards the quotas: while it serves, the units on hand are its own.  Whether it lives is asked before
+        its account is looked for, as it may leave one and end in between."""
+        before = self.succession
+        assert before is not None
+        lives = before.alive(before.before)
+        account = before.left()
+        late = self.ready() and self.reactor.seconds() - self.waiting > TAKE_OVER_S
+        if not self.ready() or (lives and account is None and not late):
+            if not self.ready():
+                self.waiting = self.reactor.seconds()
+            self.reactor.callLater(TAKE_OVER_LOOK_S, self.take_over)
+            return
+        now, gateway = self.loop.clock(), self.loop.core.gateway
+        taken, faulty = take_in(gateway, account, now) if account else (0, 0)
+        if account is None and lives:  # guards the quotas: nobody gets a fresh share beside the old one's
+            gateway.records.given_way_until = now + 1000 * OVERLAP_S
+        self.accept()
+        self.log("taken over", lives=lives, told=account is not None, entries=taken, faulty=faulty)
+        self.alone()
+
+    def halve(self) -> None:
+        """While two lives run, each has half of the descriptors that one has."""
+        self.bound(0.5)
+
+    def alone(self) -> None:
+        """All of it again, once the life before is over."""
+        if self.succession is not None and self.succession.alive(self.succession.before):
+            self.reactor.callLater(SWEEP_S, self.alone)
+        else:
+            self.bound(1.0)
+
+    def bound(self, part: float) -> None:
+        """Bound sessions and connections to a part of what is configured."""
+        self.door.sessions_most = max(1, int(part * self.config.sessions_most))
+        most = max(1, int(part * self.config.connections_most))
+        self.loop.pool.limits = replace(self.loop.pool.limits, connections=most)
+
+    def relieve(self) -> None:
+        """A later life serves: take nothing new, leave it what is on hand, finish the rest."""
+        assert self.succession is not None
+        self.loop.core.turn()
+        account = take_out(self.loop.core.gateway, self.loop.clock())
+        self.succession.leave(account)
+        self.loop.pool.rest_no_longer()
+        self.halve()
+        self.log("relieved", customers=len(account["customers"]), open=len(self.loop.core.tickets))
+        self.finish()
+
+    def join_bans(self) -> None:
+        """Other lives' words on backends."""
+        assert self.succession is not None
+        if (words := self.succession.bans()) and (news := self.loop.bans.join(words)):
+            self.succession.tell_bans(self.loop.bans.words)
+            self.loop.banned(news)
+            self.log("bans", joined=news[:20], count=len(news))
+
+    def say(self, server: str, out: bool) -> int:
+        """Staff's word on a backend: an HTTP status.  Yes only once another life can read it."""
+        bans = self.loop.bans
+        before = bans.words.get(server)
+        if not bans.say(server, out, self.loop.clock()):
+            known = server in bans.listed
+            self.log("ban", level="warning", server=server[:80], out=out, what="full" if known else "unknown")
+            return 503 if known else 404
+        if bans.words.get(server) != before:
+            if self.succession is not None and not self.succession.tell_bans(bans.words):
+                bans.words.pop(server) if before is None else bans.words.update({server: before})
+                return 503
+            self.loop.banned([server])
+            self.log("ban", server=server, out=out)
+        return 200
+
+    def stats(self) -> dict[str, Any]:
+        """The figures that staff asks for, as they are now."""
+        figures, pool = self.loop.figures, self.loop.pool
+        return {
+            "responses": figures.told(self.config.kinds),
+            "tries": sum(figures.tries),
+            "active": self.door.active(),
+            "pool_size": len(pool.backends),
+            "pool_ejected": self.loop.ejected(),
+        }
 
     def begin(self) -> None:
         """Learn of the backends, then let clients come."""
@@ -122,9 +246,11 @@
 
     def set_ready(self, heard: bool = True) -> None:
         """Clients may come, if the addresses are bound: backends are known."""
-        listens = self.door.port is not None
+        listens = self.door.port is not None or self.waiting
         if heard and listens and self.status is Status.STARTING and self.loop.pool.backends:
             self.show(Status.READY)
+            if self.succession is not None:
+                self.succession.say_ready()
             self.log("ready", backends=len(self.loop.pool.backends))
 
     def ready(self) -> bool:
@@ -160,6 +286,8 @@
         """House-keeping, again and again."""
         self.loop.sweep()
         self.door.sweep()
+        if self.succession is not None:
+            self.join_bans()
         self.reactor.callLater(SWEEP_FULL_S if self.door.full else SWEEP_S, self.sweep)
 
     def tell(self) -> None:
@@ -209,11 +337,15 @@
         if self.status is not Status.DRAINING:
             self.show(Status.DRAINING)
             self.log("stopping", open=len(self.loop.core.tickets))
-            self.reactor.callLater(LINGER_S, self.finish)
+            if self.succession is not None and self.succession.relieved():
+                self.relieve()
+            else:
+                self.reactor.callLater(LINGER_S, self.finish)
 
     def finish(self) -> None:
         """Take nothing new; end once all is answered."""
-        self.door.port.stopListening()
+        if self.door.port is not None:
+            self.door.port.stopListening()
         self.door.shut()
         if self.grpc is not None:
             longest = max(kind.deadline_ms for kind in self.config.settings.classes)
--- a/scalelb/program/config.py
+++ b/scalelb/program/config.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import os
+import socket
 import tomllib
 from collections.abc import Mapping
 from dataclasses import dataclass, field, fields
@@ -196,12 +197,15 @@
     fronts: Fronts = field(default_factory=Fronts)
     memory_mb: float = 192.0
     fairness: DoorSettings | None = None  # none: no door before the decisions
+    admin: str = ""  # where staff calls; empty: nowhere
+    inherited: int | None = None  # the descriptor of the clients' socket, where the platform holds it
+    shared: str = ""  # a folder that the lives of this limiter share; empty: none
 
     @property
     def descriptors(self) -> int:
         """What is left for clients and backends: the program itself, the director, the counter and the doors
         that are open hold some beside them."""
-        beside = [f for f in (self.fronts.agent_check, self.fronts.http_health) if f]
+        beside = [f for f in (self.fronts.agent_check, self.fronts.http_health, self.admin) if f]
         rpc = self.fronts.external_authorization or self.fronts.grpc_health
         return max(16, self.sockets - 60 - 17 * len(beside) - (64 if rpc else 0))
 
@@ -232,6 +236,7 @@
         raise ConfigError("EDGE_CONFIG: missing; it names the configuration file")
     top = Node(_load(path), "")
     told = {"name": "EDGE_NAME", "listen": "EDGE_LISTEN", "discovery": "EDGE_DISCOVERY"}
+    told["admin"] = "EDGE_ADMIN"
     for key, variable in told.items():
         if environment.get(variable) and not (again and key in top.value):
             top.value[key] = environment[variable]
@@ -240,6 +245,7 @@
     known = top.node("known", {"generation": 0, "reset": True, "instances": []})
     entries = tuple(node.value for node in known.nodes("instances"))
     parsed = read_settings(settings.value, "settings")
+    admin, inherited = top.address("admin", ""), read_inherited(environment)
     seed = top.text("seed", "0")
     try:
         number = int(seed, 16)
@@ -264,9 +270,30 @@
         requests_most=limits.whole("max-open", 1, 4096),
         fronts=read_fronts(environment),
         fairness=read_fairness(environment, parsed, tuple(t.text("name") for t in settings.nodes("tariffs"))),
+        admin=admin,
+        inherited=inherited,
+        shared=environment.get("TMPDIR", "") if admin or inherited is not None else "",
     )
 
 
+def read_inherited(environment: Mapping[str, str]) -> int | None:
+    """The descriptor of the clients' listening socket, where the platform hands it over."""
+    told = environment.get("EDGE_FD", "")
+    if not told:
+        return None
+    try:
+        if not told.isdigit():
+            raise ValueError("must be a descriptor's number")
+        with socket.socket(fileno=os.dup(int(told))) as heir:
+            if heir.family not in (socket.AF_INET, socket.AF_INET6) or heir.type != socket.SOCK_STREAM:
+                raise ValueError("must be a TCP socket")
+            if not heir.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+                raise ValueError("must be a socket that listens")
+    except (OSError, ValueError, OverflowError) as error:
+        raise ConfigError(f"EDGE_FD: {error}, not {told!r}") from None
+    return int(told)
+
+
 def compare(old: Config, new: Config) -> tuple[list[str], list[str]]:
     """The keys that differ: those that a running limiter follows, and those that a start alone can change.
 
@@ -276,7 +303,7 @@
     names |= {"connect_timeout_ms": "settings", "conn_idle_ms": "settings", "requests_most": "settings"}
     names |= {"fronts": "SCALELB_FRONTS", "fairness": "SCALELB_FAIRNESS"}
     names |= {"sockets": "limits.sockets", "memory_mb": "limits.memory_mb"}
-    skipped = {"seed", "known", "generation"}
+    skipped = {"seed", "known", "generation", "inherited", "shared"}
     differ = [f.name for f in fields(Config) if getattr(old, f.name) != getattr(new, f.name)]
     follows = {"director"} | ({"counter"} if old.counter and new.counter else set())
     moved = [names.get(name, name) for name in differ if name in follows]
--- a/scalelb/program/loop.py
+++ b/scalelb/program/loop.py
@@ -10,7 +10,9 @@
 
 from scalelb.program.config import Config, ConfigError, read_entry
 from scalelb.routing import interface as io
+from scalelb.routing.bans import Bans
 from scalelb.routing.core import Core, Limits, Ticket
+from scalelb.routing.figures import Figures
 from scalelb.transport.counter import CounterClient
 from scalelb.transport.fetch import Fetch, Pool, PoolLimits
 from scalelb.transport.session import Held
@@ -46,6 +48,9 @@
         self.alarm: Delay | None = None
         self.alarm_at = 0.0
         self.addresses: dict[str, str] = {}
+        self.bans = Bans()
+        self.kinds = {name: place for place, name in enumerate(config.kinds)}
+        self.figures = Figures(len(config.kinds))
 
     def fault(self, error: Exception) -> None:
         """A fault of the decisions: it is logged, and the limiter goes on."""
@@ -63,7 +68,12 @@
                 self.core.fetched(ticket, outcome, value, report)
 
         wire = held.call.passed_on(int(patience_ms))
-        fetch = self.pool.fetch(server, wire, ended)
+        place = self.kinds[held.call.kind]
+
+        def left() -> None:
+            self.figures.tries[place] += 1
+
+        fetch = self.pool.fetch(server, wire, ended, left=left)
         if not fetch.done:
             ticket.handle = fetch
 
@@ -129,10 +139,20 @@
         infos = self.replaced(infos)
         states = {info.server: info.state.value for info in infos}
         self.log("list", generation=generation, full=full, servers=states)
-        self.core.listed(tuple(infos), full)
+        self.core.listed(self.bans.told(infos, full), full)
         known = self.pool.backends
         self.addresses = {name: known[name].address for name in known}
 
+    def banned(self, servers: Iterable[str]) -> None:
+        """Staff's word on some backends has changed: the decisions are told, as of a change of the list."""
+        if entries := self.bans.entries(servers):
+            self.core.listed(entries, False)
+
+    def ejected(self) -> int:
+        """Backends in the list that are left out, by hand or because they can't be reached."""
+        now, servers = self.clock(), self.core.gateway.servers
+        return sum(self.bans.out(n) or (n in servers and servers[n].down > now) for n in self.pool.backends)
+
     def replaced(self, infos: list[io.ServerInfo]) -> list[io.ServerInfo]:
         """Guards a new backend at the address of another: there is one machine at an address, so the other is
         gone, whether or not the list says so yet.  It would be sent twice its share, and cold."""
--- a/scalelb/protocol/http.py
+++ b/scalelb/protocol/http.py
@@ -94,10 +94,13 @@
     return f"{verb} {target} HTTP/1.1\r\nHost: {host}\r\n{length}\r\n".encode("ascii")
 
 
-def response(status: int, reason: str, body: bytes, kind: str = "application/json") -> bytes:
-    """A response with a body."""
-    head = f"HTTP/1.1 {status} {reason}\r\nContent-Type: {kind}\r\nContent-Length: {len(body)}\r\n\r\n"
-    return head.encode("ascii") + body
+def response(
+    status: int, reason: str, body: bytes, kind: str = "application/json", close: bool = False
+) -> bytes:
+    """A response with a body; with `close`, the last on its connection."""
+    lines = [f"HTTP/1.1 {status} {reason}", f"Content-Type: {kind}", f"Content-Length: {len(body)}"]
+    lines += ["Connection: close"] * close
+    return "\r\n".join([*lines, "", ""]).encode("ascii") + body
 
 
 def watch(host: str, generation: int | None, hold_ms: int) -> bytes:
--- a/scalelb/routing/control.py
+++ b/scalelb/routing/control.py
@@ -67,7 +67,7 @@
         if max(now + TURN_MS, self.wake) < self.turn_at:
             self.turn_at = max(now + TURN_MS, self.wake)
             self.actions.append(io.SetTimer(TURN, self.turn_at - now))
-        if not self.housed and (self.customers or self.records.tables):
+        if not self.housed and (self.customers or self.records.tables or self.records.left):
             self.housed = True
             self.actions.append(io.SetTimer(HOUSE, TURN_MS if self.unvisited else HOUSE_MS))
         return self.actions
--- /dev/null
+++ b/scalelb/routing/handover.py
@@ -0,0 +1,120 @@
+"""What one life of a limiter leaves to the next, in the middle of its work.  No I/O.
+
+The life that leaves takes nothing new from here on. Of each customer it keeps what its queue needs and gives
+the rest away: what stands in the account below is no longer its own, so that the units on hand are spent by
+one of the two and never by both. What it has learnt of the backends it gives as well, and the budget for cold
+ones whole.
+
+An account is read as a stranger's would be: each number within its range, a faulty entry left out.
+"""
+
+from __future__ import annotations
+
+from math import inf, isfinite
+from typing import Any
+
+from scalelb.fairness.records import Record
+from scalelb.routing.control import HOT_MOST, Gateway
+from scalelb.routing.state import Customer
+
+OUT = 2.0  # usual latencies after which what was left out is taken to be back
+UNITS, AGE_MS, WINDOWS = 1e9, 120_000.0, 2**31 - 1  # what an account may say at most
+SERVERS_MOST = 4096
+# The gateway's own figures, with their ranges.
+FIGURES = {
+    "usual": (0.01, 1e6), "mean": (0.01, UNITS), "worth": (0.0, UNITS), "open": (0.0, 1.0), "ask": (0.0, 1.0),
+    "gap": (0.0, 1e6), "retries": (0.0, 1e3), "work": (0.0, 1e12), "filled": (0.0, 1e12),
+    "allowed": (0.0, UNITS),
+}  # fmt: skip
+# Of a server: latency, failing, limit, marked, heard, misses, down.
+MARKS = ((0.0, 1e7), (0.0, 1.0), (0.01, 1e6), (0.0, 1e15), (0.0, 1e9), (0.0, 8.0), (0.0, 1e15))
+
+
+def take_out(gateway: Gateway, now: float) -> dict[str, Any]:
+    """The account; what it says is given away."""
+    gateway.now = now
+    customers = {c.name: _leave(gateway, c, now) for c in gateway.customers.values()}
+    servers = {
+        s.info.server: [s.info.started_ms, s.latency, s.failing, s.limit, s.marked, s.heard, s.misses, s.down]
+        for s in gateway.servers.values()
+    }
+    figures = {name: getattr(gateway, name) for name in FIGURES}
+    account = {
+        "at": now,
+        "figures": figures,
+        "customers": {n: list(r) for n, r in customers.items() if max(r.full_at, r.out_until) > now},
+        "servers": servers,
+    }
+    gateway.work = gateway.allowed = 0.0  # nothing more to cold servers from here
+    return account
+
+
+def _leave(gateway: Gateway, c: Customer, now: float) -> Record:
+    gateway._credit(c, now)
+    keep = min(max(0.0, c.balance), c.queued)
+    under_way = c.amount - c.asked if c.calling and not c.reading else 0.0
+    c.balance, c.unreported = c.balance - keep, c.unreported - under_way
+    record = c.record(now)
+    c.balance, c.block, c.unreported = keep, 0.0, under_way
+    out = c.out + len(c.queue)
+    return record._replace(out=out, out_until=now + OUT * gateway.usual * (out > 0))
+
+
+def take_in(gateway: Gateway, account: dict[str, Any], now: float) -> tuple[int, int]:
+    """Go on where the life before has ended.  Customers and servers that were taken over, entries that could
+    not be read.  Whoever is known here by now has its own account already."""
+    taken = faulty = 0
+    at = account.get("at")
+    if not _within(at, now - AGE_MS, now + 1000.0):
+        return 0, 1
+    figures = account.get("figures")
+    if isinstance(figures, dict) and all(_within(figures.get(n), *r) for n, r in FIGURES.items()):
+        for name in FIGURES:
+            setattr(gateway, name, float(figures[name]))
+        gateway.measured = gateway.allowed_at = now
+        taken += 1
+    else:
+        faulty += 1
+    customers = account.get("customers")
+    for name, entry in list(customers.items())[:HOT_MOST] if isinstance(customers, dict) else []:
+        record = _record(entry, now)
+        if record is None or not 0 < len(name) <= 256:
+            faulty += 1
+        elif name not in gateway.customers:
+            gateway.records.left[name] = record
+            taken += 1
+    servers = account.get("servers")
+    for name, entry in list(servers.items())[:SERVERS_MOST] if isinstance(servers, dict) else []:
+        if not _all_within(entry, ((-inf, inf), *MARKS)):
+            faulty += 1
+        elif (s := gateway.servers.get(name)) is not None and s.info.started_ms <= entry[0]:
+            s.latency, s.failing, s.limit, s.marked, s.heard = map(float, entry[1:6])
+            s.marked, s.misses, s.down = min(s.marked, now), int(entry[6]), min(float(entry[7]), now + 8000.0)
+            taken += 1
+    return taken, faulty
+
+
+def _record(entry: Any, now: float) -> Record | None:
+    bounds = (
+        (-UNITS, UNITS), (-UNITS, UNITS), (-UNITS, UNITS), (-1e15, 1e15), (-1, WINDOWS * 1e3),
+        (now - AGE_MS, now + 1000.0), (0.0, now + 1e9), (0, 4096), (0.0, now + 1e6),
+    )  # fmt: skip
+    if not _all_within(entry, bounds):
+        return None
+    balance, unreported, store, total, window, at, full_at, out, until = entry
+    return Record(
+        float(balance), float(unreported), float(store), float(total), int(window), min(float(at), now),
+        float(full_at), int(out), float(until),
+    )  # fmt: skip
+
+
+def _all_within(entry: Any, bounds: tuple[tuple[float, float], ...]) -> bool:
+    whole = isinstance(entry, list) and len(entry) == len(bounds)
+    return whole and all(_within(value, *bound) for value, bound in zip(entry, bounds, strict=True))
+
+
+def _within(value: Any, least: float, most: float) -> bool:
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return False
+    return isfinite(value) and least <= value <= most
+
--- a/scalelb/routing/state.py
+++ b/scalelb/routing/state.py
@@ -150,6 +150,7 @@
         self.total, self.window, self.store_at = record.total, record.window, record.at
         self.credited = self.ceiling_at = record.at
         self.ceiling = 0.0
+        self.out, self.lent = record.out, [record.out_until] * record.out
 
 
 @dataclass(slots=True, eq=False)
--- a/scalelb/transport/fetch.py
+++ b/scalelb/transport/fetch.py
@@ -10,6 +10,7 @@
 from scalelb.routing.core import NO_REPORT
 from scalelb.transport.stream import Dial, Log, Reactor, Stream, host_port
 
+Left = Callable[[], None]
 Ended = Callable[[io.Outcome, memoryview | None, Mapping[str, float]], None]
 INFO_TIMEOUT_MS = 250.0
 SETTLE_MS = 5.0  # that a connection rests before it is preferred to one that has rested
@@ -28,13 +29,19 @@
 class Fetch:
     """One attempt: what is to be written, and who is told how it ended."""
 
-    __slots__ = ("connection", "done", "ended", "probe", "wire")
+    __slots__ = ("connection", "done", "ended", "left", "probe", "wire")
 
-    def __init__(self, wire: bytes, ended: Ended, probe: bool = False) -> None:
-        self.wire, self.ended, self.probe = wire, ended, probe
+    def __init__(self, wire: bytes, ended: Ended, probe: bool = False, left: Left | None = None) -> None:
+        self.wire, self.ended, self.probe, self.left = wire, ended, probe, left
         self.connection: BackendConnection | None = None
         self.done = False
 
+    def written(self) -> None:
+        """Its last byte is with the kernel: told once."""
+        left, self.left = self.left, None
+        if left is not None:
+            left()
+
     def end(
         self, outcome: io.Outcome, value: memoryview | None = None, report: Mapping[str, float] = NO_REPORT
     ) -> None:
@@ -68,6 +75,12 @@
         """Write a fetch."""
         self.fetch, fetch.connection, self.written = fetch, self, True
         self.send(fetch.wire)
+        self.drained()
+
+    def drained(self) -> None:
+        """All that was written has left."""
+        if self.fetch is not None and self.written and self.flushed and not self.gone:
+            self.fetch.written()
 
     def rawDataReceived(self, data: bytes) -> None:  # noqa: N802
         """Bytes from the backend."""
@@ -233,6 +246,13 @@
             spare.abort()
         return self.total < self.limits.connections
 
+    def rest_no_longer(self) -> None:
+        """Close what is idle: another life of this limiter needs the room, here and at the backends."""
+        for backend in self.backends.values():
+            idle, backend.idle = backend.idle, []
+            for connection in idle:
+                connection.close()
+
     def fetching(self) -> int:
         """Connections that carry a fetch, or are opened for one."""
         return sum(c.fetch is not None for backend in self.backends.values() for c in backend.open)
@@ -251,9 +271,11 @@
         for server in self.backends.keys() - set(servers):
             self.backends.pop(server).retire()
 
-    def fetch(self, server: str, wire: bytes, ended: Ended, probe: bool = False) -> Fetch:
-        """Begin an attempt."""
-        fetch = Fetch(wire, ended, probe)
+    def fetch(
+        self, server: str, wire: bytes, ended: Ended, probe: bool = False, left: Left | None = None
+    ) -> Fetch:
+        """Begin an attempt.  `left` is told once its last byte is with the kernel."""
+        fetch = Fetch(wire, ended, probe, left)
         if (backend := self.backends.get(server)) is None:
             fetch.end(io.Outcome.CONNECT_FAILED)
         else:
--- a/scalelb/transport/session.py
+++ b/scalelb/transport/session.py
@@ -12,6 +12,7 @@
 from scalelb.protocol import MalformedError, resp
 from scalelb.routing import interface as io
 from scalelb.routing.core import Core, OutOfRangeError, Ticket, Verdict
+from scalelb.routing.figures import Figures
 from scalelb.transport.stream import Log, Stream
 
 PENDING_MOST, PENDING_LOW = 64, 32  # commands of one session without an answer: stop reading, read again
@@ -131,6 +132,9 @@
             self.leaving = True
             self.abort()
             return
+        for answer in self.order:
+            if answer.ticket is not None and answer.data is None:
+                self.door.count(answer.ticket.payload.call.kind, self.door.figures.errors)
         self._give_up()
         for answer in self.order:
             answer.data = FAILED if answer.data is None else answer.data
@@ -160,6 +164,7 @@
         call = resp.Call.read(command)
         if self.door.held + len(call.raw) > self.door.held_most:  # guards the memory; nothing was charged
             settings = self.door.core.settings
+            self.door.count(call.kind, self.door.figures.shed)
             self._add(Answer(resp.busy(settings.max_retry_after_ms if settings.retry_after else 0.0)))
             return
         answer = Answer()
@@ -171,11 +176,13 @@
     ) -> None:
         """The final answer of one request; it waits only for those before it."""
         self.door.forget(ticket)
-        data: bytes | memoryview = FAILED
+        figures = self.door.figures
+        data, counts = FAILED, figures.errors  # type: tuple[bytes | memoryview, list[int]]
         if verdict is Verdict.SERVED and value is not None:
-            data = value
+            data, counts = value, figures.ok
         elif verdict is Verdict.REFUSED:
-            data = resp.busy(retry_after_ms)
+            data, counts = resp.busy(retry_after_ms), figures.shed
+        self.door.count(ticket.payload.call.kind, counts)
         answer = ticket.payload.answer
         if self.order and self.order[0] is answer:
             self.order.popleft()
@@ -242,9 +249,11 @@
         held_most: int = 16 * 1024 * 1024,
         clients_most: int = 0,
         keyed: bool = False,
+        figures: Figures | None = None,
     ) -> None:
         self.keyed = keyed  # whether a request may also come through another door
         self.core, self.ready, self.log = core, ready, log
+        self.figures = figures or Figures(len(kinds))
         self.kinds = {name: place for place, name in enumerate(kinds)}
         self.plans = {name: place for place, name in enumerate(plans)}
         self.sessions: dict[ClientSession, None] = {}
@@ -320,6 +329,15 @@
             room = CROWDED if self.full else ROOMY
             self.make_room(int(count - ended - room * self.sessions_most))
 
+    def count(self, kind: str, counts: list[int]) -> None:
+        """One more of a class, if there is such a class."""
+        if (place := self.kinds.get(kind)) is not None:
+            counts[place] += 1
+
+    def active(self) -> int:
+        """Commands that were taken and are not answered yet."""
+        return sum(len(session.order) for session in self.sessions)
+
     def forget(self, ticket: Ticket) -> None:
         """A request is finished: its id may come again."""
         self.idents.discard(ticket.payload.call.ident)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,3 +4,5 @@
 from pathlib import Path
 
 sys.path[:0] = [str(Path(__file__).parent), str(Path(__file__).parent.parent)]
+
+pytest_plugins = ["processes"]
