--- /dev/null
+++ b/scalelb/lab/flock.py
@@ -0,0 +1,262 @@
+"""Many limiters in one process and in virtual time, with their mesh between them, killed and cut on command.
+
+One kernel, a seed, and for everything that can happen a stream of its own: a run is the same from its seed.
+The links carry what the real ones do (the same objects through the same JSON), late by a drawn time; each can
+be cut in one direction or both. A quota meter that sees every first attempt says what was inside quotas.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import Counter as Tally
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from typing import Any
+
+import orjson
+
+from scalelb.lab.model import START_MS, Limiter, World
+from scalelb.peers import Mesh, MeshSettings
+from scalelb.program.peering import Peering, Whose
+from scalelb.routing import interface as io
+from scalelb.routing.bans import Bans
+from scalelb.routing.core import Ticket
+
+SLACK = 1e-6  # of a store's arithmetic
+
+
+@dataclass(frozen=True, slots=True)
+class Delays:
+    """Of the links between limiters, in milliseconds."""
+
+    least: float = 0.5
+    most: float = 5.0
+
+
+class Meter:
+    """The customers' stores as the platform counts them, exact and for all limiters together."""
+
+    def __init__(self, plans: tuple[io.Plan, ...]) -> None:
+        self.plans = plans
+        self.stores: dict[int, tuple[float, float]] = {}
+        self.inside = self.beyond = 0.0  # units
+
+    def take(self, customer: int, plan: int, units: float, now: float) -> None:
+        """A try is first sent on."""
+        rate, burst = self.plans[plan].rate, self.plans[plan].burst
+        held, at = self.stores.get(customer, (burst, now))
+        held = min(burst, held + rate * (now - at) / 1000)
+        inside = held >= units - SLACK
+        self.stores[customer] = held - units * inside, now
+        self.inside += units * inside
+        self.beyond += units * (not inside)
+
+
+class Member(Limiter):
+    """One life of one limiter: the core's ports, and its mesh."""
+
+    def __init__(self, flock: Flock, index: int, settings: io.Settings, life: int) -> None:
+        self.flock, self.dead, self.stalled_until = flock, False, 0.0
+        self.peering: Peering | None = None
+        super().__init__(flock, index + 10_000 * life, settings, None)
+        self.index = index
+        self.name = flock.names[index]
+        if flock.linked:
+            drawn = random.Random(f"{flock.seed} {index} {life}")
+            settings_ = replace(flock.mesh, name=self.name)
+            mesh = Mesh(settings_, drawn.getrandbits(31), flock.now, flock.log)
+            bans = Bans()
+            infos = tuple(io.ServerInfo(s, io.State.SERVING) for s in flock.servers)
+            bans.told(infos, True)
+            self.bans = bans
+            core, fleet = self.core, Whose.FLEET
+            self.peering = Peering(mesh, core, bans, lambda: self.kernel.now, self.banned, flock.log, fleet)
+            self.drawn = drawn
+            self.kernel.after(drawn.uniform(0.0, flock.mesh.tick_ms), self.tick)
+
+    def banned(self, some: list[str]) -> None:
+        """Words on backends have changed."""
+        self.core.listed(self.bans.entries(some), False)
+
+    def fetch(self, ticket: Ticket, server: str, patience_ms: float) -> None:
+        """An attempt on its way; the meter sees the first."""
+        row = ticket.payload[0]
+        if row.sent < 0:
+            self.flock.meter.take(row.customer, row.plan, row.units, self.kernel.now)
+        self.flock.seen["attempts"] += 1
+        super().fetch(ticket, server, patience_ms)
+
+    def timed(self, call: Callable[..., Any], *given: Any, **named: Any) -> Any:
+        """Nothing comes to one that is dead; what comes to one that stands still waits."""
+        if self.dead:
+            return None
+        if self.kernel.now < self.stalled_until:
+            self.kernel.at(self.stalled_until, self.timed, call, *given)
+            return None
+        return super().timed(call, *given, **named)
+
+    def turn(self, alarm: float) -> None:
+        """One turn, unless it is dead or stands still."""
+        if self.dead:
+            return
+        if self.kernel.now < self.stalled_until:
+            self.kernel.at(self.stalled_until, self.turn, alarm)
+            return
+        super().turn(alarm)
+
+    def tick(self) -> None:
+        """The mesh's turn, again and again."""
+        if self.dead or self.peering is None:
+            return
+        if self.kernel.now < self.stalled_until:
+            self.kernel.at(self.stalled_until, self.tick)
+            return
+        flock, mesh = self.flock, self.peering.mesh
+        for name in mesh.wanted(self.drawn.choice):
+            flock.dial(self, name)
+        for name, message in self.peering.tick(flock.now, lambda name: True):
+            flock.carry(self, name, message)
+        self.kernel.after(flock.mesh.push_ms, self.tick)
+
+    def receive(self, life: Member, message: bytes) -> None:
+        """A message of a peer's life, unless the link has ended meanwhile."""
+        linked = self.flock.pairs.get((self.name, life.name)) is life
+        if self.dead or life.dead or self.peering is None or not linked:
+            return
+        if self.kernel.now < self.stalled_until:
+            self.kernel.at(self.stalled_until, self.receive, life, message)
+            return
+        for name, answer in self.peering.mesh.received(life.name, orjson.loads(message), self.flock.now):
+            self.flock.carry(self, name, answer)
+
+
+class Flock(World):
+    """Limiters with links and faults between them."""
+
+    def __init__(
+        self,
+        settings: io.Settings,
+        *,
+        seed: int = 1,
+        linked: bool = True,
+        delays: Delays = Delays(),
+        mesh: MeshSettings | None = None,
+        **more: Any,
+    ) -> None:
+        self.linked, self.delays = linked, delays
+        self.names = [f"limiter-{n:03}" for n in range(settings.gateways)]
+        self.mesh = mesh or MeshSettings(self.names[0], tuple(self.names))
+        self.mesh = replace(self.mesh, members=tuple(self.names))
+        self.meter, self.seen = Meter(settings.plans), Tally[str]()
+        self.pairs: dict[tuple[str, str], Member] = {}  # (here, there): the life at the other end
+        self.cuts: set[tuple[str, str]] = set()  # (from, to)
+        self.bytes: Tally[str] = Tally()  # by receiver
+        self.logged: list[tuple[float, str, dict[str, Any]]] = []
+        self.of_links = random.Random(f"links {seed}")
+        self.lives = [0] * settings.gateways
+        super().__init__(replace(settings, gateways=0), seed=seed, **more)
+        self.settings = settings
+        self.limiters = []
+        self.limiters = [self.make(index) for index in range(settings.gateways)]
+
+    @property
+    def now(self) -> float:
+        """The meshes' clock."""
+        return self.kernel.now - START_MS
+
+    def log(self, event: str, **fields: Any) -> None:
+        """A line of one of them."""
+        self.logged.append((self.now, event, fields))
+
+    def make(self, index: int) -> Any:
+        """A new life."""
+        life, self.lives[index] = self.lives[index], self.lives[index] + 1
+        return Member(self, index, replace(self.settings, index=index), life)
+
+    def member(self, name: str) -> Member:
+        """The life that runs under a name."""
+        found: Any = self.limiters[self.names.index(name)]
+        assert isinstance(found, Member)
+        return found
+
+    # Faults
+
+    def kill(self, index: int, down_ms: float) -> None:
+        """SIGKILL; a new life after a while."""
+        old: Any = self.limiters[index]
+        old.dead = True
+        self.seen["kills"] += 1
+        self.part(old.name)
+        self.kernel.after(down_ms, self.restart, index)
+
+    def restart(self, index: int) -> None:
+        """A new life."""
+        if getattr(self.limiters[index], "dead", True):
+            self.limiters[index] = self.make(index)
+
+    def stall(self, index: int, ms: float) -> None:
+        """SIGSTOP, and SIGCONT after a while."""
+        found: Any = self.limiters[index]
+        found.stalled_until = self.kernel.now + ms
+
+    def part(self, name: str) -> None:
+        """Every link of a life ends."""
+        for here, there in [pair for pair in self.pairs if name in pair]:
+            del self.pairs[here, there]
+            other = self.member(here)
+            if other.peering is not None and not other.dead:
+                other.peering.mesh.left(there, self.now)
+
+    def cut(self, some: set[str], others: set[str], one_way: bool = False) -> None:
+        """Nothing comes from some to others; unless `one_way`, nor back."""
+        self.cuts |= {(a, b) for a in some for b in others if a != b}
+        if not one_way:
+            self.cuts |= {(b, a) for a in some for b in others if a != b}
+
+    def heal(self) -> None:
+        """All links carry again; those that were silent have ended meanwhile."""
+        for a, b in self.cuts:
+            for pair in ((a, b), (b, a)):
+                if self.pairs.pop(pair, None) is not None:
+                    other = self.member(pair[0])
+                    if other.peering is not None:
+                        other.peering.mesh.left(pair[1], self.now)
+        self.cuts.clear()
+
+    # Links
+
+    def dial(self, member: Member, name: str) -> None:
+        """A link comes up, if nothing is in its way."""
+        other = self.member(name)
+        if other.dead or (member.name, name) in self.cuts or (name, member.name) in self.cuts:
+            return
+        if (member.name, name) in self.pairs or member.peering is None or other.peering is None:
+            return
+        self.pairs[member.name, name], self.pairs[name, member.name] = other, member
+        member.peering.mesh.joined(name, self.now)
+        other.peering.mesh.joined(member.name, self.now)
+
+    def carry(self, member: Member, name: str, message: Any) -> None:
+        """One message, late by a drawn time, in the order of the link."""
+        data = orjson.dumps(message)
+        late = self.of_links.uniform(self.delays.least, self.delays.most)
+        if (member.name, name) in self.cuts or (other := self.pairs.get((member.name, name))) is None:
+            return
+        self.bytes[name] += len(data)
+        self.seen["messages"] += 1
+        key = member.name, name
+        at = max(self.kernel.now + late, self.last.get(key, 0.0) + 0.001)
+        self.last[key] = at
+        self.kernel.at(at, other.receive, member, data)
+
+    @property
+    def last(self) -> dict[tuple[str, str], float]:
+        """When the newest message of each link arrives: they keep their order."""
+        found: dict[tuple[str, str], float] = self.__dict__.setdefault("_last", {})
+        return found
+
+    def same(self) -> bool:
+        """Whether all copies of all chains are equal."""
+        members: list[Any] = [m for m in self.limiters if not getattr(m, "dead", True)]
+        replicas = [m.peering.mesh.replica for m in members]
+        return all(replica.same(replicas[0]) for replica in replicas[1:])
--- a/scalelb/program/__main__.py
+++ b/scalelb/program/__main__.py
@@ -30,6 +30,7 @@
 from scalelb.transport.stream import Log, host_port
 
 if TYPE_CHECKING:
+    from scalelb.program.links import Links
     from scalelb.transport.authz.front import GrpcFront
 
 SWEEP_S, SWEEP_FULL_S, TALLY_S = 0.25, 0.03, 5.0  # house-keeping; while new clients wait; log
@@ -74,6 +75,11 @@
             self.succession.enter()
             self.join_bans()
             self.succession.clear()
+        self.links: Links | None = None
+        if config.peers is not None:
+            from scalelb.program.links import Links
+
+            self.links = Links(self, config.peers)
         self.waiting = 0.0  # since when the life before is waited for (s of the reactor)
         self.admin: AdminDoor | None = None
         if fronts.external_authorization or fronts.grpc_health:
@@ -98,6 +104,8 @@
             self.take_over()
         else:
             self.accept()
+        if self.links is not None:
+            self.ports["peers"] = self.links.listen()
         if self.config.admin:
             host, port = host_port(self.config.admin)
             self.admin = AdminDoor(self.reactor, self, self.log)
@@ -197,6 +205,8 @@
                 bans.words.pop(server) if before is None else bans.words.update({server: before})
                 return 503
             self.loop.banned([server])
+            if self.links is not None:
+                self.links.say(server)
             self.log("ban", server=server, out=out)
         return 200
 
@@ -312,6 +322,7 @@
             usual_ms=round(gateway.usual, 1),
             counts=dict(sorted(tally.items())),
             **(core.door.told() if core.door is not None else {}),
+            **(self.links.told() if self.links is not None else {}),
         )
         self.cpu = cpu
         self.reactor.callLater(TALLY_S, self.tell)
@@ -359,6 +370,8 @@
             self.reactor.callLater(0.02, self.wait)
         else:
             self.log("stopped")
+            if self.links is not None:
+                self.links.stop()
             self.director.stop()
             self.reactor.stop()
 
--- a/scalelb/program/config.py
+++ b/scalelb/program/config.py
@@ -24,7 +24,8 @@
 STATES = {"ready": io.State.SERVING, "draining": io.State.DRAINING, "gone": io.State.GONE}
 PROGRAM_MB = 30.0  # that the program takes with nothing to do, and some
 DEPLOY = Path(__file__).parent.parent.parent / "deploy"
-FRONTS, FAIRNESS = DEPLOY / "fronts.toml", DEPLOY / "fairness.toml"
+FRONTS, FAIRNESS, PEERS = DEPLOY / "fronts.toml", DEPLOY / "fairness.toml", DEPLOY / "peers.toml"
+MEMBERS_MOST = 512
 
 
 class ConfigError(Exception):
@@ -176,6 +177,19 @@
     http_health: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class PeerSettings:
+    """The links to other limiters; times in ms."""
+
+    listen: str
+    members: dict[str, str]  # name: host:port, this limiter's own too
+    fleet_bans: bool = False  # staff's words on backends hold at all limiters
+    tick_ms: float = 100.0
+    beat_ms: float = 500.0
+    suspect_ms: float = 1500.0
+    alone_ms: float = 2000.0
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     """All that the program is told."""
@@ -200,6 +214,7 @@
     fairness: DoorSettings | None = None  # none: no door before the decisions
     admin: str = ""  # where staff calls; empty: nowhere
     inherited: int | None = None  # the descriptor of the clients' socket, where the platform holds it
+    peers: PeerSettings | None = None  # none: no links to other limiters
     shared: str = ""  # a folder that the lives of this limiter share; empty: none
 
     @property
@@ -208,7 +223,8 @@
         that are open hold some beside them."""
         beside = [f for f in (self.fronts.agent_check, self.fronts.http_health, self.admin) if f]
         rpc = self.fronts.external_authorization or self.fronts.grpc_health
-        return max(16, self.sockets - 60 - 17 * len(beside) - (64 if rpc else 0))
+        links = 4 * len(self.peers.members).bit_length() + 8 if self.peers is not None else 0
+        return max(16, self.sockets - 60 - 17 * len(beside) - (64 if rpc else 0) - links)
 
     @property
     def sessions_most(self) -> int:
@@ -279,6 +295,7 @@
         requests_most=limits.whole("max-open", 1, 4096),
         fronts=read_fronts(environment),
         fairness=read_fairness(environment, parsed, tuple(t.text("name") for t in settings.nodes("tariffs"))),
+        peers=read_peers(environment, top.text("name", "limiter")),
         admin=admin,
         inherited=inherited,
         shared=environment.get("TMPDIR", "") if admin or inherited is not None else "",
@@ -310,7 +327,7 @@
     """
     names = {"director": "discovery", "kinds": "settings", "plans": "settings", "zones": "settings"}
     names |= {"connect_timeout_ms": "settings", "conn_idle_ms": "settings", "requests_most": "settings"}
-    names |= {"fronts": "SCALELB_FRONTS", "fairness": "SCALELB_FAIRNESS"}
+    names |= {"fronts": "SCALELB_FRONTS", "fairness": "SCALELB_FAIRNESS", "peers": "SCALELB_PEERS"}
     names |= {"sockets": "limits.sockets", "memory_mb": "limits.memory_mb"}
     skipped = {"seed", "known", "generation", "inherited", "shared"}
     differ = [f.name for f in fields(Config) if getattr(old, f.name) != getattr(new, f.name)]
@@ -388,6 +405,44 @@
     return read_door(_load_toml(path, "SCALELB_FAIRNESS"), settings, plans)
 
 
+def read_link(options: Any, name: str) -> PeerSettings | None:
+    """Check what the links are told (`deploy/peers.toml` has the keys); nothing where they are off."""
+    top = Node(options, "")
+    known = ("on", "listen", "bans", "tick_ms", "beat_ms", "suspect_ms", "alone_ms", "members")
+    if unknown := sorted(top.value.keys() - set(known)):
+        raise ConfigError(f"{unknown[0]}: not known; there are {', '.join(known)}")
+    if not top.flag("on", False):
+        return None
+    members = top.node("members")
+    if not 2 <= len(members.value) <= MEMBERS_MOST:
+        raise ConfigError(f"members: must be 2 to {MEMBERS_MOST}, not {len(members.value)}")
+    if name not in members.value:
+        raise ConfigError(f"members: must hold this limiter's own name, {name!r}")
+    if top.text("bans", "own") not in ("own", "fleet"):
+        raise ConfigError(f"bans: must be one of own, fleet, not {top.text('bans')!r}")
+    tick, beat = top.number("tick_ms", 10.0, 100.0), top.number("beat_ms", 10.0, 500.0)
+    suspect = top.number("suspect_ms", 10.0, 1500.0)
+    if not tick <= beat or not 2 * beat <= suspect:
+        raise ConfigError("suspect_ms: must be at least twice beat_ms, and beat_ms at least tick_ms")
+    return PeerSettings(
+        listen=top.address("listen"),
+        members={member: members.address(member) for member in sorted(members.value)},
+        fleet_bans=top.text("bans", "own") == "fleet",
+        tick_ms=tick,
+        beat_ms=beat,
+        suspect_ms=suspect,
+        alone_ms=top.number("alone_ms", 0.0, 2000.0),
+    )
+
+
+def read_peers(environment: Mapping[str, str], name: str) -> PeerSettings | None:
+    """Read the links' file; without one there are none."""
+    path = Path(environment.get("SCALELB_PEERS", "") or PEERS)
+    if not path.exists() and "SCALELB_PEERS" not in environment:
+        return None
+    return read_link(_load_toml(path, "SCALELB_PEERS"), name)
+
+
 def _load_toml(path: Path, variable: str) -> Any:
     try:
         return tomllib.loads(path.read_text())
--- /dev/null
+++ b/scalelb/program/peering.py
@@ -0,0 +1,246 @@
+"""What limiters tell each other of their work, and what each makes of it.  No I/O: the mesh carries it.
+
+Every limiter writes only what is its own: the accounts of its customers, what it found of backends, staff's
+words that it was told. So nothing has to be agreed upon, and a copy can only be old, never wrong. What is
+made of another's word is bounded, whoever may have written it:
+
+    u:CUSTOMER  account    read by the next life of the same limiter: what was granted stays granted, and
+                           never more is on hand than this life's own share
+    x:BACKEND   by hand    read by the next life, and by all where `bans` says "fleet": it drains
+    b:BACKEND   bad        read by who knows nothing of it: looks slower if two say so, own answers go first
+    g:BACKEND   gone       read by who still has it listed: nothing new goes there if two say so, until
+                           the list tells more
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from enum import Enum
+from itertools import islice
+from math import exp, inf, isfinite
+from typing import Any
+
+from scalelb.fairness.records import Record
+from scalelb.peers import Life, Mesh
+from scalelb.routing import health
+from scalelb.routing.bans import Bans, Word
+from scalelb.routing.core import Core
+from scalelb.routing.handover import take_out
+from scalelb.routing.state import Customer
+
+ACCOUNTS_MOST = 100_000  # published at once
+ENDED = 64  # accounts looked at in one tick, whether their store is full again
+LOOK_MS = 1000.0  # between two looks at the backends
+BAD, HEARD, PRIOR = 0.5, 1.2, 0.3  # failing from here on, of so many answers, is told; what it is taken for
+VOICES, PART = 2, 0.25  # that have to say so; the part of the backends that peers can speak against at most
+CLOSE_MS = 120_000.0  # after which what former lives told of is over
+GONE_MS = 60_000.0  # that a backend which has left the list is told of
+UNITS = 1e9
+
+
+class Whose(Enum):
+    """Whose words of staff hold here."""
+
+    OWN = "own"
+    FLEET = "fleet"
+
+
+class Peering:
+    """Between one limiter's core and the mesh."""
+
+    def __init__(
+        self,
+        mesh: Mesh,
+        core: Core,
+        bans: Bans,
+        clock: Callable[[], float],
+        banned: Callable[[list[str]], None],
+        log: Callable[..., None],
+        whose: Whose = Whose.OWN,
+    ) -> None:
+        self.mesh, self.core, self.bans, self.clock = mesh, core, bans, clock
+        self.banned, self.log, self.whose = banned, log, whose
+        self.since = -inf  # what was seen after that is to be told
+        self.looked = self.ticked = -inf
+        self.close_at = inf  # when all that former lives told of is over
+        self.published: dict[str, float] = {}  # accounts, when their stores are full again
+        self.gone: dict[str, float] = {}  # backends that have left the list, when
+        self.listed: set[str] = set()
+        self.distrusted: set[str] = set()  # backends held back for peers' words alone
+        mesh.on_settled, mesh.on_closed, mesh.on_entry = self.settled, self.closed, self.entered
+        # Until it has settled nobody gets a fresh share: a former life may have granted it.
+        core.gateway.records.given_way_until = inf
+
+    def tick(self, now: float, ready: Callable[[str], bool]) -> list[tuple[str, Any]]:
+        """What is to be said, each `push_ms`; `now` is the mesh's time."""
+        if self.mesh.settled and not self.mesh.closed:
+            at = self.clock()
+            self._publish_accounts(at, now)
+            if at >= self.close_at:
+                self.close_at = inf
+                self.mesh.close(now)
+            if at - self.looked >= LOOK_MS:
+                self.looked = at
+                self._publish_backends(at, now)
+                self._heed(at)
+        out = self.mesh.push(ready)
+        if now - self.ticked >= self.mesh.settings.tick_ms - 1.0:
+            self.ticked = now
+            out += self.mesh.tick(now, ready)
+        return out
+
+    # What is told
+
+    def _publish_accounts(self, at: float, now: float) -> None:
+        gateway, since = self.core.gateway, self.since
+        self.since = at
+        for c in reversed(gateway.customers.values()):
+            if c.seen < since:
+                break
+            self._publish(c, at, now)
+        for c in list(gateway.active.values()):
+            if c.seen < since:
+                self._publish(c, at, now)
+        for name in [n for n, full_at in islice(self.published.items(), ENDED) if full_at <= at]:
+            del self.published[name]
+            self.mesh.write("u:" + name, None, now)
+
+    def _publish(self, c: Customer, at: float, now: float) -> None:
+        gateway = self.core.gateway
+        if not c.plan.rate and not c.plan.ceiling_rate:
+            return
+        record = c.record(at, gateway.backoff > 0)
+        if record.full_at <= at and c.name not in self.published:
+            return
+        if len(self.published) >= ACCOUNTS_MOST and c.name not in self.published:
+            return
+        self.published.pop(c.name, None)
+        self.published[c.name] = record.full_at
+        numbers = [record.balance, record.unreported, record.store, record.total]
+        told = [round(number, 3) for number in numbers]
+        self.mesh.write("u:" + c.name, [*told, record.window, round(record.at), round(record.full_at)], now)
+
+    def _publish_backends(self, at: float, now: float) -> None:
+        gateway = self.core.gateway
+        lasts = health.memory(gateway.gap, len(gateway.servers))
+        own = self.mesh.own().entries
+        for name, server in gateway.servers.items():
+            bad = server.failing * exp((server.marked - at) / lasts) > BAD and server.heard >= HEARD
+            key = "b:" + name
+            if bad != (key in own and own[key].value is not None):
+                self.mesh.write(key, [round(server.info.started_ms)] if bad else None, now)
+        listed = set(self.bans.listed)
+        for name in self.listed - listed:
+            self.gone[name] = at
+            self.mesh.write("g:" + name, [], now)
+        for name in [n for n, when in self.gone.items() if at - when > GONE_MS or n in listed]:
+            del self.gone[name]
+            self.mesh.write("g:" + name, None, now)
+        for key in [k for k, e in own.items() if k[:2] == "b:" and e.value is not None]:
+            if key[2:] not in listed:
+                self.mesh.write(key, None, now)
+        self.listed = listed
+
+    def say(self, server: str, now: float) -> None:
+        """Staff's word on a backend has changed."""
+        if (word := self.bans.words.get(server)) is not None:
+            self.mesh.write("x:" + server, [round(word.at, 3), word.out], now)
+
+    # What comes
+
+    def settled(self) -> None:
+        """All that peers know of this limiter's former lives is here: go on from there."""
+        records, now, taken = self.core.gateway.records, self.clock(), 0
+        self.close_at = now
+        for life in self.mesh.former():
+            for key, value in self.mesh.replica.chains[life].live():
+                if key[:2] == "u:" and (record := read_account(value, now)) is not None:
+                    self.close_at = max(self.close_at, min(record.full_at, now + CLOSE_MS))
+                    name, old = key[2:], records.left.get(key[2:])
+                    if name not in self.core.gateway.customers and (old is None or old.at <= record.at):
+                        records.left[name] = record
+                        taken += 1
+                elif key[:2] == "x:":
+                    self.entered(life, key, value)
+        records.given_way_until = 0.0
+        self.log("recalled", accounts=taken, lives=len(self.mesh.former()))
+
+    def closed(self) -> None:
+        """A newer life of this name is at work: what is on hand is its own, and nothing new is granted."""
+        gateway, now = self.core.gateway, self.clock()
+        take_out(gateway, now)
+        gateway.records.given_way_until = inf
+
+    def entered(self, life: Life, key: str, value: Any) -> None:
+        """A peer's entry is new here."""
+        if key[:2] != "x:" or value is None or (life.name != self.mesh.life.name and self.whose is Whose.OWN):
+            return
+        match value:
+            case [int() | float() as at, bool(out)] if not isinstance(at, bool) and 0 <= at < 1e15:
+                if self.bans.join([(key[2:], Word(float(at), out))]):
+                    self.banned([key[2:]])
+
+    def _heed(self, at: float) -> None:
+        """What peers say of backends.  Two have to say so, of few backends, and whoever has answers of its
+        own goes by those: one wrong peer alone takes no healthy backend out."""
+        bad, gone = self._voices("b:"), self._voices("g:")
+        gateway = self.core.gateway
+        most = int(PART * len(gateway.servers))
+        lasts = health.memory(gateway.gap, len(gateway.servers))
+        for name in sorted(bad, key=lambda n: (-len(bad[n]), n))[:most]:
+            server = gateway.servers.get(name)
+            if server is None or len(bad[name]) < VOICES:
+                continue
+            if server.heard * exp((server.marked - at) / lasts) > 0.5:
+                continue
+            server.failing, server.marked = max(server.failing, PRIOR), at
+        held = [n for n in sorted(gone) if len(gone[n]) >= VOICES and n in self.bans.listed]
+        distrusted = set(held[: max(1, int(PART * len(self.bans.listed)))])
+        if distrusted != self.distrusted:
+            changed, self.distrusted = distrusted ^ self.distrusted, distrusted
+            self.bans.held = distrusted
+            self.banned(sorted(changed))
+            self.log("heeded", gone=sorted(distrusted))
+
+    def _voices(self, kind: str) -> dict[str, set[str]]:
+        """Which members say something of a backend; this one's own word is not among them."""
+        said: dict[str, set[str]] = {}
+        for life, chain in self.mesh.replica.chains.items():
+            if life.name == self.mesh.life.name or self.mesh.replica.newest(life.name) != life:
+                continue
+            for key, _ in chain.live():
+                if key[:2] == kind:
+                    said.setdefault(key[2:], set()).add(life.name)
+        return said
+
+    def told(self, now: float) -> dict[str, Any]:
+        """For the log and for staff."""
+        mesh = self.mesh
+        states = {name: mesh.state(name, now).value for name in mesh.members if name != mesh.life.name}
+        return {
+            "life": mesh.life.number,
+            "settled": mesh.settled,
+            "closed": mesh.closed,
+            "alone": mesh.alone(now),
+            "links": len(mesh.links),
+            "not_alive": {name: state for name, state in states.items() if state != "alive"},
+            "entries": sum(len(chain.entries) for chain in mesh.replica.chains.values()),
+        }
+
+
+def read_account(value: Any, now: float) -> Record | None:
+    """An account as a former life published it; None where it can't be one.  Nothing in it lets more be
+    granted than a store holds: who reads it bounds it by the plan."""
+    if not isinstance(value, list) or len(value) != 7:
+        return None
+    if not all(not isinstance(v, bool) and isinstance(v, int | float) and isfinite(v) for v in value):
+        return None
+    balance, unreported, store, total, window, at, full_at = value
+    if not all(-UNITS <= v <= UNITS for v in (balance, unreported, store)) or not -1 <= window < 2**40:
+        return None
+    if not 0 <= at <= now + 60_000.0 or not abs(total) <= 1e15 or full_at <= now:
+        return None
+    return Record(
+        float(balance), float(unreported), float(store), float(total), int(window), min(float(at), now),
+        min(float(full_at), now + 600_000.0),
+    )  # fmt: skip
--- a/scalelb/routing/bans.py
+++ b/scalelb/routing/bans.py
@@ -33,6 +33,7 @@
     def __init__(self) -> None:
         self.words: dict[str, Word] = {}
         self.listed: dict[str, io.ServerInfo] = {}  # as the director has it
+        self.held: set[str] = set()  # backends that peers say are gone: they drain until the list tells
 
     def out(self, server: str) -> bool:
         """Whether it is out by hand."""
@@ -49,11 +50,13 @@
                 self.listed.pop(info.server, None)
             else:
                 self.listed[info.server] = info
-        return tuple(map(self.seen, infos)) if self.words else infos
+        return tuple(map(self.seen, infos)) if self.words or self.held else infos
 
     def seen(self, info: io.ServerInfo) -> io.ServerInfo:
         """An entry of the list as the decisions are to see it."""
         word = self.words.get(info.server)
+        if info.server in self.held and info.state is io.State.SERVING:
+            return replace(info, state=io.State.DRAINING)
         if word is None or info.state is io.State.GONE:
             return info
         if word.out:
--- a/scalelb/routing/control.py
+++ b/scalelb/routing/control.py
@@ -147,7 +147,7 @@
         """Let a customer go; a compact record of its store stays until that is full again."""
         if not c.busy():
             self._credit(c, now)
-            self.records.put(c.name, c.record(now), now)
+            self.records.put(c.name, c.record(now, self.backoff > 0), now)
             del self.customers[c.name]
             self.active.pop(c.name, None)
 
--- a/scalelb/routing/handover.py
+++ b/scalelb/routing/handover.py
@@ -57,7 +57,7 @@
     keep = min(c.balance, queued)
     under_way = c.amount - c.asked if c.calling and not c.reading else 0.0
     c.balance, c.block, c.unreported = c.balance + c.block - queued, 0.0, c.unreported - under_way
-    record = c.record(now)
+    record = c.record(now, gateway.backoff > 0)
     c.balance, c.block, c.ready, c.unreported = keep, queued - keep, now, under_way
     # Guards the quota while the counter is silent: both lives would else credit the rate.
     c.plan = c.plan if c.shared else replace(c.plan, burst=0.0)
--- a/scalelb/routing/state.py
+++ b/scalelb/routing/state.py
@@ -122,12 +122,14 @@
         """Whether something of it is under way, so that it can't be let go."""
         return bool(self.queue or self.out or self.calling)
 
-    def record(self, now: float) -> Record:
+    def record(self, now: float, silent: bool = False) -> Record:
         """What is to be kept of it.  Its store is full again once the rate has covered what is missing,
-        by the counter's last word and by what this door has on hand."""
+        by the counter's last word and by what this door has on hand; while the counter is `silent` only that
+        tells, as what was credited since is in no word of it."""
         rate, room = self.plan.rate, self.room()
         told = min(room, self.filled(now)) - max(0.0, self.unreported)
-        missing = room - (told if self.shared else min(told, (self.balance + self.block) * self.doors))
+        hand = (self.balance + self.block) * self.doors
+        missing = room - (told if self.shared and not silent else min(told, hand))
         full_at = now + 1000 * max(0.0, missing) / rate if rate else now
         if self.plan.ceiling_rate:
             below = self.plan.ceiling_burst - self.ceiling * self.doors
--- a/scalelb/transport/stream.py
+++ b/scalelb/transport/stream.py
@@ -29,6 +29,9 @@
 class Reactor(Protocol):
     """What is used of a Twisted reactor."""
 
+    def seconds(self) -> float:
+        """The time, on a clock that only goes on."""
+
     def callLater(self, delay: float, call: Callable[..., Any], *args: Any) -> Delay:  # noqa: N802
         """Call after so many seconds."""
 
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -17,8 +17,9 @@
     "protocol": {"protocol"},
     "transport": {"routing", "protocol", "transport"},
     "middleware": {"fairness", "routing", "protocol", "middleware"},
-    "program": {"fairness", "routing", "protocol", "transport", "program"},
-    "lab": {"fairness", "routing", "protocol", "transport", "program", "lab"},
+    "peers": {"peers"},
+    "program": {"fairness", "peers", "routing", "protocol", "transport", "program"},
+    "lab": {"fairness", "peers", "routing", "protocol", "transport", "program", "lab"},
     "__main__": {"lab"},
     "wirehost": {"routing", "program", "wirehost"},
     "__init__": {"routing"},
@@ -27,6 +28,7 @@
     "fairness": {"twisted", "socket", "grpc", "httptools", "orjson", "time", "random"},
     "routing": {"twisted", "socket", "grpc", "httptools", "orjson"},
     "protocol": {"twisted", "socket"},
+    "peers": {"twisted", "socket", "grpc", "httptools", "orjson", "time", "random"},
 }
 
 
@@ -52,7 +54,10 @@
 
 
 def test_the_program_does_without_the_extras_until_they_are_configured() -> None:
-    extras = "grpc google.protobuf starlette numpy pyarrow click scalelb.lab asyncio"
+    extras = (
+        "grpc google.protobuf starlette numpy pyarrow click scalelb.lab scalelb.peers "
+        "scalelb.program.links scalelb.program.peering scalelb.transport.peerlink asyncio"
+    )
     code = (
         "import sys, scalelb.program.__main__, scalelb.wirehost\n"
         f"print([m for m in {extras.split()} if m in sys.modules])"
