--- a/scalelb/lab/standins.py
+++ b/scalelb/lab/standins.py
@@ -11,6 +11,7 @@
 import random
 import re
 import sys
+import time
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -28,6 +29,7 @@
 HOLD_MOST_MS = 60_000.0
 DELTA = re.compile(r"-?[0-9]{1,12}(?:\.[0-9]{1,12})?")
 AMOUNT_MOST = 1e9
+SEEN_MOST = 500_000
 CLOSE_S = 0.05  # in which the end of a connection has been read
 
 
@@ -50,12 +52,14 @@
     decks: tuple[DeckSpec, ...]
     work_ms: dict[str, float]
     counter_ms: float = 1.0
+    record: bool = False  # keep every attempt that was seen
 
     @classmethod
     def read(cls, options: dict[str, Any]) -> Plan:
         """From JSON."""
         decks = tuple(DeckSpec(**deck) for deck in options["decks"])
-        return cls(decks, options["work_ms"], options.get("counter_ms", 1.0))
+        more = options.get("counter_ms", 1.0), options.get("record", False)
+        return cls(decks, options["work_ms"], *more)
 
 
 @dataclass(eq=False)
@@ -84,11 +88,21 @@
         self.tally = {"taken": 0, "served": 0, "busy": 0, "malformed": 0, "twice": 0, "after_drain": 0}
         self.inside: dict[bytes, Job] = {}  # by id: what waits or runs
         self.drained_at = 0.0
+        self.seen: list[dict[str, Any]] | None = None  # attempts and their ends, where they are kept
+        self.sessions = 0
 
     def buildProtocol(self, addr: Any) -> DeckSession:  # noqa: N802
         """A limiter connects."""
+        self.sessions += 1
         return DeckSession(self)
 
+    def note(self, what: str, job: Job, **more: Any) -> None:
+        """Keep what was seen of an attempt."""
+        if self.seen is not None and job.ident and len(self.seen) < SEEN_MOST:
+            at, link = time.time() * 1000.0, job.session.number
+            told = {"what": what, "ident": job.ident.decode(), "at": at, "deck": self.spec.name, "link": link}
+            self.seen.append({**told, **more})
+
     def speed(self) -> float:
         """Of a core now: a server that has just started is slow at first."""
         spec = self.spec
@@ -99,6 +113,7 @@
         """A whole command has come."""
         job = Job(session, call.ident, call.units * self.work_ms.get(call.kind.encode(), 1.0))
         self.tally["taken"] += 1
+        self.note("take", job, customer=f"{int(call.customer, 16):016x}", units=call.units, key=call.key)
         if self.drains and self.reactor.seconds() - self.drained_at > 1.0:
             self.tally["after_drain"] += 1
         if (earlier := self.inside.get(call.ident)) is not None:
@@ -149,6 +164,7 @@
 
     def __init__(self, deck: Deck) -> None:
         self.deck, self.reader = deck, resp.CommandReader()
+        self.number = deck.sessions
         self.order: deque[Job] = deque()
 
     def rawDataReceived(self, data: bytes) -> None:  # noqa: N802
@@ -169,7 +185,14 @@
     def flush(self) -> None:
         """Answer what is done, in order."""
         while self.order and self.order[0].reply:
-            self.send(self.order.popleft().reply)
+            job = self.order.popleft()
+            self.deck.note("end", job)
+            self.send(job.reply)
+
+    def lost(self) -> None:
+        """The limiter has ended the connection."""
+        for job in self.order:
+            self.deck.note("end", job)
 
 
 class HttpSession(Stream):
@@ -306,6 +329,9 @@
     def __init__(self, reactor: Any, plan: Plan) -> None:
         self.reactor = reactor
         self.decks = {spec.name: Deck(reactor, spec, plan.work_ms) for spec in plan.decks}
+        self.seen: list[dict[str, Any]] = []
+        for deck in self.decks.values():
+            deck.seen = self.seen if plan.record else None
         self.counter, self.director = Counter(reactor, plan.counter_ms), Director(reactor)
         self.addresses: dict[str, Any] = {}
 
@@ -337,7 +363,8 @@
     def told(self) -> dict[str, Any]:
         """What the stand-ins have seen, rules broken among it."""
         decks = {name: deck.tally for name, deck in self.decks.items()}
-        return {"decks": decks, "counter": {"calls": self.counter.calls, "units": self.counter.units}}
+        kept = {"seen": self.seen} if self.seen else {}
+        return {"decks": decks, **kept, "counter": {"calls": self.counter.calls, "units": self.counter.units}}
 
 
 class Commands(LineReceiver):
@@ -378,8 +405,6 @@
 
 def main() -> int:
     """Run the stand-ins of one run."""
-    import time
-
     from twisted.internet import reactor
 
     run: Any = reactor
--- a/scalelb/program/links.py
+++ b/scalelb/program/links.py
@@ -45,6 +45,7 @@
             self.reactor, config.name, others, program.log, self.joined, self.left, self.message
         )  # fmt: skip
         self.ticks = 0
+        self.digest = self.told_digest = ""
         self.cpu = 0.0  # seconds that the links have taken
 
     def now(self) -> float:
@@ -66,6 +67,7 @@
         self.ticks += 1
         if self.ticks % SWEEPS == 0:
             self.links.sweep()
+            self.tell_quiet()
         for name in self.mesh.wanted(self.random.choice):
             self.links.dial(name)
         for name, message in self.peering.tick(self.now(), self.links.ready):
@@ -73,6 +75,14 @@
         self.cpu += time.thread_time() - began
         self.reactor.callLater(self.mesh.settings.push_ms / 1000, self.tick)
 
+    def tell_quiet(self) -> None:
+        """One line once nothing has changed for a while: what is held here, to compare with the others."""
+        digest = self.peering.digest()
+        if digest == self.digest and digest != self.told_digest:
+            self.told_digest = digest
+            self.program.log("quiet", digest=digest)
+        self.digest = digest
+
     def joined(self, name: str) -> None:
         """A link is up."""
         self.mesh.joined(name, self.now())
--- a/scalelb/program/peering.py
+++ b/scalelb/program/peering.py
@@ -19,6 +19,7 @@
 from itertools import islice
 from math import exp, inf, isfinite
 from typing import Any
+from zlib import crc32
 
 from scalelb.fairness.records import Record
 from scalelb.peers import Life, Mesh
@@ -213,6 +214,12 @@
                     said.setdefault(key[2:], set()).add(life.name)
         return said
 
+    def digest(self) -> str:
+        """All entries that are held here, in a few letters."""
+        chains = self.mesh.replica.chains.items()
+        held = sorted((life, sorted(dict(chain.live()).items())) for life, chain in chains)
+        return f"{crc32(repr([some for some in held if some[1]]).encode()):08x}"
+
     def told(self, now: float) -> dict[str, Any]:
         """For the log and for staff."""
         mesh = self.mesh
