Schedules for kills, splits and storms, in real processes and in virtual time

Need: each fault between limiters is to be proven twice, in hundreds of orders of virtual time and with real processes.

--- a/scalelb/lab/cli.py
+++ b/scalelb/lab/cli.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+import subprocess
 import sys
 from pathlib import Path
 from typing import Any
@@ -68,6 +69,42 @@
         click.echo(f"{variant.name}: {count} requests in {read.seconds:g} s, {variant.limiters} limiters")
 
 
+@lab.command()
+@click.argument("schedule", type=click.Path(path_type=Path))
+@click.option("--out", type=click.Path(path_type=Path, file_okay=False), required=True, help="For results.")
+@click.option("--virtual", is_flag=True, help="Play the cores in virtual time, without sockets or processes.")
+@click.option("--seeds", type=click.IntRange(1, 10_000), default=1, help="So many runs, in virtual time.")
+@click.option("--limiters", type=click.IntRange(2, 500), default=None, help="So many, in virtual time.")
+def faults(schedule: Path, out: Path, virtual: bool, seeds: int, limiters: int | None) -> None:
+    """Run the faults of SCHEDULE between several limiters and check what must never happen."""
+    from scalelb.lab.schedule import read_schedule
+    from scalelb.lab.virtual import play
+
+    try:
+        read = read_schedule(schedule)
+    except ExperimentError as error:
+        raise click.ClickException(str(error)) from None
+    if not virtual:
+        command = [sys.executable, "-m", "scalelb.lab.faults", str(schedule), str(out)]
+        if subprocess.run(command, stdout=subprocess.DEVNULL).returncode:
+            click.echo((out / "report.json").read_text() if (out / "report.json").exists() else "no report")
+            raise click.ClickException("rules broken")
+        told = orjson.loads((out / "report.json").read_bytes())
+        for name, count in told["checked"].items():
+            click.echo(f"{name}: {count} checked, none broken")
+        return
+    failed = {}
+    for seed in tqdm(range(read.seed, read.seed + seeds), file=sys.stderr, disable=None):
+        if broken := play(read, seed, limiters or read.limiters):
+            failed[seed] = broken
+    out.mkdir(parents=True, exist_ok=True)
+    (out / "report.json").write_bytes(orjson.dumps({str(s): b for s, b in failed.items()}))
+    click.echo(f"{seeds - len(failed)} of {seeds} seeds kept all rules")
+    if failed:
+        seed, broken = next(iter(failed.items()))
+        raise click.ClickException(f"seed {seed}: {'; '.join(broken[:5])}")
+
+
 def _chosen(experiment: Experiment, only: tuple[str, ...]) -> list[Variant]:
     names = [variant.name for variant in experiment.variants]
     if unknown := [name for name in only if name not in names]:
--- a/scalelb/lab/flock.py
+++ b/scalelb/lab/flock.py
@@ -56,7 +56,8 @@
     """One life of one limiter: the core's ports, and its mesh."""
 
     def __init__(self, flock: Flock, index: int, settings: io.Settings, life: int) -> None:
-        self.flock, self.dead, self.stalled_until = flock, False, 0.0
+        self.flock, self.dead = flock, False
+        self.stalled, self.backlog = False, list[Callable[[], Any]]()  # it stands still; what came meanwhile
         self.peering: Peering | None = None
         super().__init__(flock, index + 10_000 * life, settings, None)
         self.index = index
@@ -90,8 +91,8 @@
         """Nothing comes to one that is dead; what comes to one that stands still waits."""
         if self.dead:
             return None
-        if self.kernel.now < self.stalled_until:
-            self.kernel.at(self.stalled_until, self.timed, call, *given)
+        if self.stalled:
+            self.backlog.append(lambda: self.timed(call, *given, **named))
             return None
         return super().timed(call, *given, **named)
 
@@ -99,8 +100,8 @@
         """One turn, unless it is dead or stands still."""
         if self.dead:
             return
-        if self.kernel.now < self.stalled_until:
-            self.kernel.at(self.stalled_until, self.turn, alarm)
+        if self.stalled:
+            self.backlog.append(lambda: self.turn(alarm))
             return
         super().turn(alarm)
 
@@ -108,8 +109,8 @@
         """The mesh's turn, again and again."""
         if self.dead or self.peering is None:
             return
-        if self.kernel.now < self.stalled_until:
-            self.kernel.at(self.stalled_until, self.tick)
+        if self.stalled:
+            self.backlog.append(self.tick)
             return
         flock, mesh = self.flock, self.peering.mesh
         for name in mesh.wanted(self.drawn.choice):
@@ -123,8 +124,8 @@
         linked = self.flock.pairs.get((self.name, life.name)) is life
         if self.dead or life.dead or self.peering is None or not linked:
             return
-        if self.kernel.now < self.stalled_until:
-            self.kernel.at(self.stalled_until, self.receive, life, message)
+        if self.stalled:
+            self.backlog.append(lambda: self.receive(life, message))
             return
         for name, answer in self.peering.mesh.received(life.name, orjson.loads(message), self.flock.now):
             self.flock.carry(self, name, answer)
@@ -196,8 +197,16 @@
 
     def stall(self, index: int, ms: float) -> None:
         """SIGSTOP, and SIGCONT after a while."""
-        found: Any = self.limiters[index]
-        found.stalled_until = self.kernel.now + ms
+        member: Any = self.limiters[index]
+        member.stalled = True
+        self.kernel.after(ms, self.wake, member)
+
+    def wake(self, member: Member) -> None:
+        """SIGCONT: all that came meanwhile is there at once."""
+        member.stalled = False
+        backlog, member.backlog = member.backlog, []
+        for call in backlog:
+            call()
 
     def part(self, name: str) -> None:
         """Every link of a life ends."""
