--- a/scalelb/lab/checkers.py
+++ b/scalelb/lab/checkers.py
@@ -101,6 +101,15 @@
 
 def quotas(history: list[Event], plans: dict[str, tuple[float, float]], bound: float) -> list[str]:
     """Of each customer, over all limiters: what was first sent on stays within `bound` times its quota."""
+    return [
+        f"{customer}: {sent:g} units of {allowed:.1f} allowed"
+        for customer, (sent, allowed) in use(history, plans).items()
+        if sent > bound * allowed + SLACK
+    ]
+
+
+def use(history: list[Event], plans: dict[str, tuple[float, float]]) -> dict[str, tuple[float, float]]:
+    """Units of each customer that were first sent on, and what rate and burst allow meanwhile."""
     firsts: dict[str, tuple[float, float, str, str]] = {}
     plan_of = {e["customer"]: e["plan"] for e in history if e["what"] == "ask"}
     for e in history:
@@ -109,14 +118,12 @@
     sent = defaultdict(list)
     for at, units, customer, plan in firsts.values():
         sent[customer, plan].append((at, units))
-    broken = []
+    found = {}
     for (customer, plan), some in sent.items():
         rate, burst = plans[plan]
         some.sort()
-        allowed = burst + rate * (some[-1][0] - some[0][0]) / 1000
-        if (units := sum(u for _, u in some)) > bound * allowed + SLACK:
-            broken.append(f"{customer}: {units:g} units of {allowed:.1f} allowed")
-    return broken
+        found[customer] = sum(u for _, u in some), burst + rate * (some[-1][0] - some[0][0]) / 1000
+    return found
 
 
 Checker = Callable[[list[Event]], list[str]]
--- a/scalelb/lab/faults.py
+++ b/scalelb/lab/faults.py
@@ -20,7 +20,7 @@
 from twisted.internet import error
 from twisted.internet.protocol import ProcessProtocol
 
-from scalelb.lab.checkers import CHECKERS, Event, check, quotas
+from scalelb.lab.checkers import CHECKERS, Event, check, quotas, use
 from scalelb.lab.experiment import CLASSES, Experiment, ExperimentError, Fleet, Variant
 from scalelb.lab.relay import Relay, Way
 from scalelb.lab.schedule import Schedule, Step, read_schedule
@@ -406,6 +406,7 @@
             "answers": dict(verdicts),
             "faults": sum(e["what"] == "fault" for e in self.history),
             "lost": sum(e["what"] == "lost" for e in self.history),
+            "use": {c: [u, round(a, 1), round(u / a, 3)] for c, (u, a) in use(self.history, plans).items()},
         }
         with (self.out / "history.jsonl").open("wb") as file:
             file.writelines(orjson.dumps(event) + b"\n" for event in self.history)
--- a/scalelb/lab/schedule.py
+++ b/scalelb/lab/schedule.py
@@ -12,6 +12,7 @@
 
 from __future__ import annotations
 
+import random
 import tomllib
 from dataclasses import dataclass
 from pathlib import Path
@@ -24,7 +25,7 @@
 OF_ONE = ("kill", "stall", "wake", "start")
 OF_LINK = ("cut", "carry", "hold", "delay", "half", "reset")
 OTHERS = ("counter", "drain", "load", "nothing")
-LIMITERS_MOST, STEPS_MOST = 16, 200
+LIMITERS_MOST, STEPS_MOST, KILLS_MOST = 16, 200, 500
 
 
 @dataclass(frozen=True)
@@ -75,7 +76,7 @@
 
 
 def _read(top: Node, path: Path) -> Schedule:
-    known = "name limiters seed linked plan load step bound"
+    known = "name limiters seed linked plan load step bound kills"
     if unknown := sorted(set(top.value) - set(known.split())):
         raise ConfigError(f"{unknown[0]}: not known; there are {known.replace(' ', ', ')}")
     plan, load = top.node("plan", {}), top.node("load", {})
@@ -97,10 +98,25 @@
         customers=load.whole("customers", 1, 20),
         keyed=load.number("keyed", 0.0, 0.2),
         bound=top.number("bound", 1.0, 1.5),
-        steps=tuple(_step(node, names) for node in steps),
+        steps=(*(_step(node, names) for node in steps), *_kills(top, names)),
     )
 
 
+def _kills(top: Node, names: list[str]) -> list[Step]:
+    """`[kills]`: so many limiters, drawn from the seed, each killed after some answers and started anew."""
+    told = top.node("kills", {"count": 0})
+    drawn, count = random.Random(f"kills {top.whole('seed', 0, 1)}"), told.whole("count", 0, 0)
+    if count > KILLS_MOST:
+        raise ConfigError(f"{told.at('count')}: must be {KILLS_MOST} at most, not {count}")
+    steps = []
+    for _ in range(count):
+        name = drawn.choice(names)
+        kill = {"answers": told.whole("answers", 1, 20), "do": "kill", "of": name}
+        steps.append(_step(Node(kill, ""), names))
+        steps.append(_step(Node({"do": "start", "of": name}, ""), names))
+    return steps
+
+
 def _step(node: Node, names: list[str]) -> Step:
     waits = [wait for wait in WAITS if wait in node.value]
     if len(waits) > 1:
--- a/scalelb/routing/handover.py
+++ b/scalelb/routing/handover.py
@@ -16,6 +16,7 @@
 
 from scalelb.fairness.records import Record
 from scalelb.routing.control import HOT_MOST, Gateway
+from scalelb.routing.keys import KEYS_MOST
 from scalelb.routing.state import Customer
 
 OUT = 2.0  # usual latencies after which what was left out is taken to be back
@@ -45,6 +46,7 @@
         "figures": figures,
         "customers": {n: list(r) for n, r in customers.items() if max(r.full_at, r.out_until) > now},
         "servers": servers,
+        "keys": [[*name, until, doors] for name, (until, doors) in gateway.keys.known.items() if until > now],
     }
     gateway.work = gateway.allowed = 0.0  # nothing more to cold servers from here
     return account
@@ -96,6 +98,14 @@
             s.latency, s.failing, s.limit, s.marked, s.heard = map(float, entry[1:6])
             s.marked, s.misses, s.down = min(s.marked, now), int(entry[6]), min(float(entry[7]), now + 8000.0)
             taken += 1
+    keys = account.get("keys")
+    for entry in keys[:KEYS_MOST] if isinstance(keys, list) else []:
+        match entry:
+            case [str(customer), str(key), until, int(doors)] if _within(until, now, now + AGE_MS):
+                gateway.keys.known.setdefault((customer, key), (float(until), doors))
+                taken += 1
+            case _:
+                faulty += 1
     return taken, faulty
 
 
--- a/tests/test_operating.py
+++ b/tests/test_operating.py
@@ -326,3 +326,16 @@
         session.drained()
     assert door.ahead == 0
     assert all(wire.producerState != "paused" for wire in fed)
+
+
+def test_keys_that_one_door_has_counted_move_on_too() -> None:
+    old, new = Fleet(1).gateways[0], Fleet(1).gateways[0]
+    now = 1_000_000.0
+    old.keys.count("c1", "k1", 1, now, 4000.0)
+    old.keys.count("c1", "k0", 1, now - 9000.0, 4000.0)
+    account = orjson.loads(orjson.dumps(take_out(old, now)))
+    account["keys"].append(["c1", 7, now, 1])
+    assert take_in(new, account, now)[1] == 1
+    assert new.keys.counted("c1", "k1", 2, now)
+    assert not new.keys.counted("c1", "k1", 1, now)
+    assert not new.keys.counted("c1", "k0", 2, now)
