--- a/scalelb/peers/chain.py
+++ b/scalelb/peers/chain.py
@@ -13,12 +13,14 @@
 
 from __future__ import annotations
 
+from bisect import bisect_right
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from typing import Any, NamedTuple
 
 TOMB_MS = 60_000.0  # that an end can be learnt by itself: whoever was away for longer gets a full copy
 ENTRIES_MOST = 131_072  # of one chain
+COMPACT = 256  # writes that are left standing before the list of them is made anew
 KEY_MOST = 300  # characters
 VERSION_MOST = 2**53
 
@@ -43,7 +45,9 @@
 class Chain:
     """A life's entries, or a copy of them."""
 
-    entries: dict[str, Entry] = field(default_factory=dict)  # by version, the newest last
+    entries: dict[str, Entry] = field(default_factory=dict)
+    versions: list[int] = field(default_factory=list)  # of all writes here, in their order, and their keys;
+    keys: list[str] = field(default_factory=list)  # those that were written over are passed by
     version: int = 0  # all up to here is in it
     floor: int = 0  # up to here ends were dropped
     ended: dict[str, float] = field(default_factory=dict)  # when tombstones came here, oldest first
@@ -56,25 +60,27 @@
         self._set(key, Entry(self.version, value), now)
 
     def _set(self, key: str, entry: Entry, now: float) -> None:
-        self.entries.pop(key, None)
         self.entries[key] = entry
+        self.versions.append(entry.version)
+        self.keys.append(key)
+        if len(self.versions) > 2 * len(self.entries) + COMPACT:  # guards the memory: each write leaves one
+            newest = sorted((entry.version, key) for key, entry in self.entries.items())
+            self.versions, self.keys = [v for v, _ in newest], [k for _, k in newest]
         self.ended.pop(key, None)
         if entry.value is None:
             self.ended[key] = now
 
     def since(self, version: int) -> Iterator[tuple[str, Entry]]:
         """What a copy that holds all up to `version` lacks, in the order of the writes."""
-        missing: list[tuple[str, Entry]] = []
-        for key in reversed(self.entries):
-            if (entry := self.entries[key]).version <= version:
-                break
-            missing.append((key, entry))
-        return iter(missing[::-1])
+        for place in range(bisect_right(self.versions, version), len(self.versions)):
+            key = self.keys[place]
+            if (entry := self.entries.get(key)) is not None and entry.version == self.versions[place]:
+                yield key, entry
 
     def begin_copy(self, floor: int) -> None:
         """A full copy begins: nothing that stands here counts any more."""
-        self.entries.clear()
-        self.ended.clear()
+        for some in (self.entries, self.versions, self.keys, self.ended):
+            some.clear()
         self.version, self.floor = 0, floor
 
     def join(
--- a/scalelb/peers/mesh.py
+++ b/scalelb/peers/mesh.py
@@ -32,6 +32,7 @@
 
 FORM = 1  # of the messages
 BUDGET = 32 * 1024  # bytes of entries in one message, about
+MEAN_BYTES = 100  # of an entry, about
 LIVES_MOST = 400  # told in one `have`
 VALUE_MOST = 1024  # bytes of a value, about
 NUMBER_MOST, NONCE_MOST = 2**31, 2**31
@@ -63,8 +64,9 @@
     suspect_ms: float = 1500.0  # silence that is told of
     alone_ms: float = 2000.0  # that a life without a settled peer waits before it settles
     meet_ms: float = 300.0  # that it waits for further links once it has one
-    push_ms: float = 25.0  # between two pushes of its own writes
-    links: int = 2  # that are told of news in one tick, and that own writes are pushed to
+    push_ms: float = 50.0  # between two pushes of its own writes
+    links: int = 1  # that are told of news in one tick
+    holders: int = 2  # that own writes are pushed to
 
 
 @dataclass(slots=True)
@@ -197,7 +199,7 @@
         if not self.settled or self.closed:
             return []
         some = [link for link in self.links.values() if link.goal is not None and not link.more]
-        some = [link for link in some if ready(link.name)][: self.settings.links]
+        some = [link for link in some if ready(link.name)][: self.settings.holders]
         return [out for link in some for out in self._news(link, {self.life: self.own()})]
 
     def _news_for(self, link: Link) -> bool:
@@ -321,7 +323,9 @@
             if len(chain.entries) > ENTRIES_MOST:  # guards the memory against a writer without bound
                 self.log("peers", level="warning", what="a chain is too long", life=list(life))
                 self.replica.forget(life)
-        return []
+        # There is more where a message was full: a copy that is far behind need not wait for its turn.
+        full = sum(len(entries) for *_, entries in taken) > BUDGET // MEAN_BYTES // 2
+        return self._have(link, now, ask=True) if full else []
 
     def _entered(self, life: Life, key: str, value: Any) -> None:
         if self.settled and life.name == self.life.name and life > self.life:
--- a/scalelb/program/links.py
+++ b/scalelb/program/links.py
@@ -17,7 +17,7 @@
     from scalelb.program.__main__ import Program
 
 BACKLOG = 64
-SWEEPS = 20  # ticks between two looks for silent links
+SWEEPS = 10  # ticks between two looks for silent links
 
 
 class Links:
--- a/scalelb/program/peering.py
+++ b/scalelb/program/peering.py
@@ -215,10 +215,9 @@
         return said
 
     def digest(self) -> str:
-        """All entries that are held here, in a few letters."""
-        chains = self.mesh.replica.chains.items()
-        held = sorted((life, sorted(dict(chain.live()).items())) for life, chain in chains)
-        return f"{crc32(repr([some for some in held if some[1]]).encode()):08x}"
+        """What is held here, in a few letters: a chain's version says what is in it."""
+        held = sorted(self.mesh.replica.digest().items())
+        return f"{crc32(repr(held).encode()):08x}"
 
     def told(self, now: float) -> dict[str, Any]:
         """For the log and for staff."""
