--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -15,7 +15,7 @@
 from processes import PATIENCE, ROOT, SETTINGS, Backend, Limiter, wire
 from scenario import call
 
-from scalelb.program.config import ConfigError, read_config, read_fronts, read_settings
+from scalelb.program.config import ConfigError, read_config, read_fronts, read_peers, read_settings
 from scalelb.program.log import Bounded
 
 
@@ -196,3 +196,27 @@
     assert run.returncode == 2
     [line] = [json.loads(line) for line in run.stderr.splitlines()]
     assert (line["event"], line["what"]) == ("configuration", "settings: missing field")
+
+
+@pytest.mark.parametrize(
+    ("text", "words"),
+    [
+        ("on = true\nlisten = '127.0.0.1:0'", "members: missing"),
+        ("on = true\nlisten = '127.0.0.1:0'\n[members]\nn0 = '127.0.0.1:1'", "members: must be 2 to"),
+        ("on = true\nlisten = 'x'\n[members]\nn0 = '127.0.0.1:1'\nn1 = 'h:2'", "listen: must be host"),
+        ("on = true\nlisten = 'h:1'\n[members]\nn2 = 'h:1'\nn1 = 'h:2'", "must hold this limiter's own name"),
+        ("on = true\nlisten = 'h:1'\n[members]\nn0 = 'h'\nn1 = 'h:2'", "members.n0: must be host:port"),
+        ("on = true\nlisten = 'h:1'\nbans = 'odd'\n[members]\nn0 = 'h:1'\nn1 = 'h:2'", "bans: must be"),
+        ("on = true\nlisten = 'h:1'\nsuspect_ms = 600\n[members]\nn0 = 'h:1'\nn1 = 'h:2'", "suspect_ms"),
+        ("odd = 1", "odd: not known"),
+        ("on = 'yes'", "on: must be true or false"),
+    ],
+)
+def test_a_faulty_peers_file_is_named(tmp_path: Path, text: str, words: str) -> None:
+    (tmp_path / "peers.toml").write_text(text)
+    with pytest.raises(ConfigError, match=words):
+        read_peers({"SCALELB_PEERS": str(tmp_path / "peers.toml")}, "n0")
+
+
+def test_the_repositorys_own_links_are_off() -> None:
+    assert read_peers({}, "n0") is None
