Give no share to who comes to a life that has left; forget no compact record in an upgrade

Cause: read again: a life that had left its account still gave a fresh share to a customer that came to it anew by an open session, beside the next life's (routing/handover.py take_out), and customers let go with a compact record began full in the next life. Change: the life that leaves grants nothing anew; until all compact records are full again whoever is not in the account begins empty.

--- a/scalelb/program/peering.py
+++ b/scalelb/program/peering.py
@@ -168,9 +168,7 @@
 
     def closed(self) -> None:
         """A newer life of this name is at work: what is on hand is its own, and nothing new is granted."""
-        gateway, now = self.core.gateway, self.clock()
-        take_out(gateway, now)
-        gateway.records.given_way_until = inf
+        take_out(self.core.gateway, self.clock())
 
     def entered(self, life: Life, key: str, value: Any) -> None:
         """A peer's entry is new here."""
--- a/scalelb/routing/handover.py
+++ b/scalelb/routing/handover.py
@@ -22,6 +22,7 @@
 OUT = 2.0  # usual latencies after which what was left out is taken to be back
 UNITS, AGE_MS, WINDOWS = 1e9, 120_000.0, 2**31 - 1  # what an account may say at most
 SERVERS_MOST = 4096
+FILL_MS = 600_000.0  # that a store may take to be full again
 # The gateway's own figures, with their ranges.
 FIGURES = {
     "usual": (0.01, 1e6), "mean": (0.01, UNITS), "worth": (0.0, UNITS), "open": (0.0, 1.0), "ask": (0.0, 1.0),
@@ -41,14 +42,20 @@
         for s in gateway.servers.values()
     }
     figures = {name: getattr(gateway, name) for name in FIGURES}
+    plans = [plan for plan in gateway.settings.plans if plan.rate]
+    fill_ms = max((1000 * plan.burst / plan.rate for plan in plans), default=0.0)
     account = {
         "at": now,
+        # Those let go have compact records, which name nobody: until all of them are full again, whoever is
+        # not in the account begins with an empty store.
+        "given_way_until": now + fill_ms if gateway.records.count else 0.0,
         "figures": figures,
         "customers": {n: list(r) for n, r in customers.items() if max(r.full_at, r.out_until) > now},
         "servers": servers,
         "keys": [[*name, until, doors] for name, (until, doors) in gateway.keys.known.items() if until > now],
     }
     gateway.work = gateway.allowed = 0.0  # nothing more to cold servers from here
+    gateway.records.given_way_until = inf  # and no share to who comes to this life from here on
     return account
 
 
@@ -82,6 +89,9 @@
         taken += 1
     else:
         faulty += 1
+    until: Any = account.get("given_way_until")
+    if _within(until, now, now + FILL_MS):
+        gateway.records.given_way_until = float(until)
     customers = account.get("customers")
     for name, entry in list(customers.items())[:HOT_MOST] if isinstance(customers, dict) else []:
         record = _record(entry, now)
--- a/tests/test_operating.py
+++ b/tests/test_operating.py
@@ -13,6 +13,7 @@
 from hypothesis import strategies as st
 from scenario import Stage
 
+from scalelb.fairness.records import Record
 from scalelb.routing import interface as io
 from scalelb.routing.bans import MOST, Bans, Word
 from scalelb.routing.handover import take_in, take_out
@@ -328,6 +329,18 @@
     assert all(wire.producerState != "paused" for wire in fed)
 
 
+def test_who_comes_to_a_life_that_has_left_gets_no_share_and_none_is_forgotten_by_the_next() -> None:
+    old, new = Fleet(2, counter=False), Fleet(2, counter=False)
+    gateway = old.gateways[0]
+    gateway.records.put("c9", Record(0.0, 0.0, 0.0, 0.0, -1, old.now, old.now + 5000.0), old.now)
+    account = orjson.loads(orjson.dumps(take_out(gateway, old.now)))
+    old.ask("stranger", 0, 1.0, doors=1)
+    assert gateway.customers["stranger"].balance <= 0.0
+    take_in(new.gateways[0], account, new.now)
+    new.ask("c9", 0, 1.0, doors=1)
+    assert new.gateways[0].customers["c9"].balance <= 0.0
+
+
 def test_keys_that_one_door_has_counted_move_on_too() -> None:
     old, new = Fleet(1).gateways[0], Fleet(1).gateways[0]
     now = 1_000_000.0
