Tell in the log what calls came to the operators' door, and who was closed without one

Need: bad input at the operators' door is to be counted where staff can see it; the counts stood in the door alone. Change: tally.admin by status, 0 for callers closed without a call.

--- a/scalelb/program/__main__.py
+++ b/scalelb/program/__main__.py
@@ -323,6 +323,7 @@
             counts=dict(sorted(tally.items())),
             **(core.door.told() if core.door is not None else {}),
             **(self.links.told() if self.links is not None else {}),
+            **({"admin": {str(s): n for s, n in self.admin.calls.items()}} if self.admin is not None else {}),
         )
         self.cpu = cpu
         self.reactor.callLater(TALLY_S, self.tell)
--- a/scalelb/transport/admin.py
+++ b/scalelb/transport/admin.py
@@ -50,7 +50,12 @@
         """The connection is up."""
         super().connectionMade()
         self.door.joined(self)
-        self.timer = self.door.reactor.callLater(CALL_S, self.abort)
+        self.timer = self.door.reactor.callLater(CALL_S, self.late)
+
+    def late(self) -> None:
+        """No call has come in time."""
+        self.door.calls[0] = self.door.calls.get(0, 0) + (not self.answered)
+        self.abort()
 
     def rawDataReceived(self, data: bytes) -> None:  # noqa: N802
         """Bytes from the caller; what comes behind its one call is skipped."""
@@ -117,7 +122,7 @@
     def __init__(self, reactor: Reactor, desk: Desk, log: Log) -> None:
         self.reactor, self.desk, self.log = reactor, desk, log
         self.callers: dict[AdminConnection, None] = {}  # the first has been here for longest
-        self.calls: dict[int, int] = {}  # by status, since the start
+        self.calls: dict[int, int] = {}  # by status, since the start; 0: closed without a call
 
     def joined(self, caller: AdminConnection) -> None:
         """Guards the descriptors, and those who ask against those who say nothing."""
@@ -125,6 +130,7 @@
         if len(self.callers) > CALLERS_MOST:
             oldest = next(iter(self.callers))
             del self.callers[oldest]
+            self.calls[0] = self.calls.get(0, 0) + (not oldest.answered)
             oldest.abort()
 
     def buildProtocol(self, addr: IAddress | None) -> AdminConnection:  # noqa: N802
--- a/tests/test_operating.py
+++ b/tests/test_operating.py
@@ -218,6 +218,7 @@
     stage.wait(5100)
     assert caller.wire.ended
     assert not door.callers
+    assert door.calls == {status: 1}  # counted, for the log
     stage.play("client send {call(1)}")
     assert ("backend" in stage.net.wires) is (b"/s0/maint" not in text or status != 200)
 
