Leave the fault stage's loop once, and keep its state in one place

Cause: the stage stopped its loop from two places and held a flag as a class attribute; found on reading it again. Change: one guarded stop, flags set at the start.

--- a/scalelb/lab/faults.py
+++ b/scalelb/lab/faults.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import os
 import random
 import signal
 import sys
@@ -114,7 +115,7 @@
         self.relays: dict[tuple[str, str], Relay] = {}
         self.steps = deque(schedule.steps)
         self.since: Counter[Any] = Counter()  # what was seen since the last step was done
-        self.loading = self.closing = False
+        self.loading = self.quieting = self.closing = self.stopped = False
         self.asked = self.faults = 0
         self.quiet: dict[str, str] = {}
         self.problems: list[str] = []
@@ -138,8 +139,6 @@
 
     def spawn(self, name: str, module: list[str], more: dict[str, str], log: Path | None) -> None:
         """Start a process."""
-        import os
-
         environment = {n: v for n, v in os.environ.items() if not n.startswith(("EDGE_", "SCALELB_"))} | more
         found = self.processes[name] = Lines(self, name, log)
         fds = {0: "w", 1: "r", 2: "r" if log is not None else 2}
@@ -250,8 +249,6 @@
         """A process has ended."""
         if self.processes.get(process.name) is process and status and not self.closing:
             self.problems.append(f"{process.name}: ended with status {status}")
-        if self.closing and all(p.ended for p in self.processes.values()):
-            self.reactor.callLater(0, self.reactor.stop) if self.reactor.running else None
 
     # Load
 
@@ -365,19 +362,17 @@
     def begin_quiet(self) -> None:
         """From here on lines of quiet count."""
         self.patience()
-        self.closing_quiet = True
+        self.quieting = True
         self.look_quiet()
 
-    closing_quiet = False
-
     def look_quiet(self) -> None:
         """Whether all limiters that run have told the same."""
-        if not self.closing_quiet:
+        if not self.quieting:
             return
         alive = [name for name in self.schedule.names if name in self.ports]
         told = [self.quiet.get(name, name) for name in alive]
         if not self.schedule.linked or len(set(told)) == 1:
-            self.closing_quiet = False
+            self.quieting = False
             for name, state in zip(alive, told, strict=True):
                 if self.schedule.linked:
                     self.note("digest", limiter=name, state=state)
@@ -389,7 +384,8 @@
 
     def finish(self, seen: dict[str, Any]) -> None:
         """Check, report, end."""
-        self.late.cancel() if self.late.active() else None
+        if self.late.active():
+            self.late.cancel()
         self.closing = True
         for take in seen["seen"]:
             self.history.append(take)
@@ -430,7 +426,13 @@
             if not self.processes[name].ended:
                 with suppress(error.ProcessExitedAlready):
                     transport.signalProcess("KILL")
-        self.reactor.callLater(0.2, self.reactor.stop)
+        self.reactor.callLater(0.2, self.stop)
+
+    def stop(self) -> None:
+        """Leave the loop, once."""
+        if not self.stopped:
+            self.stopped = True
+            self.reactor.stop()
 
 
 def main() -> int:
