Bound what a recalled account holds by the plan's burst

Cause: read again: program/peering.py read_account and docs/replication.md say that an account is bounded by who reads it, and Customer.recall (routing/state.py) took its balance as it stood: a peer that forges a former life's chain handed out 1e8 units. Ruled out: the account's own range check (1e9 units pass). Change: a balance above the burst is the burst. Measured: tests/test_peers.py test_a_forged_account_...: fails without it, passes with it.

--- a/scalelb/routing/state.py
+++ b/scalelb/routing/state.py
@@ -148,7 +148,9 @@
         """Go on where the record ends, if there is one."""
         if record is None:
             return
-        self.balance, self.unreported, self.store = record.balance, record.unreported, record.store
+        # Guards the quota: a record may be another limiter's copy, and no store holds more than its burst.
+        held, self.unreported, self.store = record.balance, record.unreported, record.store
+        self.balance = min(held, self.plan.burst) if self.plan.rate else held
         self.total, self.window, self.store_at = record.total, record.window, record.at
         self.credited = self.ceiling_at = record.at
         self.ceiling = 0.0
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -466,3 +466,17 @@
 def test_an_account_that_can_not_be_is_none(value: list[Any]) -> None:
     record = read_account(value, 1e12)
     assert record is None or (abs(record.balance) <= 1e9 and record.at <= 1e12)
+
+
+def test_a_forged_account_of_a_former_life_hands_out_a_burst_at_most() -> None:
+    found = flock(3, seconds=0.1, counter="silent")
+    old: Any = found.limiters[1]
+    old.peering.mesh.write(f"u:{7:016x}", [1e8, 0.0, 1e8, 0.0, -1, START_MS, START_MS + 1e7], found.now)
+    found.run(found.now + 300)
+    found.kill(1, 10.0)
+    found.run(found.now + 2500)
+    new: Any = found.limiters[1]
+    assert f"{7:016x}" in new.core.gateway.records.left
+    found.load([Arrival(found.now + 10, "x", 7, 0, 0, 1.0, 1)])
+    found.run(found.now + 50)
+    assert new.core.gateway.customers[f"{7:016x}"].balance <= PLAN.burst
