Ask the counter for what it bears, by how long answers stand in line; one limiter tries for all

Each limiter found a bad backend out for itself, links or not. Change: overload/crowd.py: an answer is waited for up to 0.15 of the least aim; the part follows the time that answers stand in line; customers found empty are refused where no call is left for them. With links: what two find bad one limiter tries for all (rendezvous over those alive), its good word ends the others' marks.

--- /dev/null
+++ b/scalelb/lab/crowded.py
@@ -0,0 +1,154 @@
+"""Many limiters on a counter that bears less than they would ask of it, in virtual time.
+
+Customers come through 30 of 200 limiters each, some inside their quotas, some far beyond; the counter serves
+a stated number of calls for each request, in one line. `python -m scalelb.lab.crowded` prints the table of
+`docs/overload.md`.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import Counter as Tally
+from dataclasses import dataclass, replace
+from typing import Any
+
+from scalelb.lab.experiment import Fleet
+from scalelb.lab.flock import Flock, Member
+from scalelb.lab.model import START_MS
+from scalelb.lab.rows import Row
+from scalelb.routing import interface as io
+from scalelb.routing.core import Ticket, Verdict
+
+PLAN = io.Plan(rate=4.0, burst=12.0)
+SITE = io.Settings(
+    index=0, gateways=200, zone=0, classes=(io.RequestClass(1000.0, 3000.0),), plans=(PLAN,),
+    attempt_limit=4, cold_from=0.15, cold_ms=18_000.0, fall_multiple=3.0, fall_ms=1500.0, most_units=4.0,
+    counter=True, counter_timeout_ms=30.0, retry_after=True, max_retry_after_ms=1000.0,
+)  # fmt: skip
+BEGIN_MS = 4000.0  # counted from
+
+
+@dataclass(frozen=True)
+class Case:
+    """One run."""
+
+    bears: float = 1.0  # calls of the counter for each request
+    limiters: int = 200
+    doors: int = 30
+    seed: int = 1
+    per_s: float = 600.0
+    customers: int = 120
+    over: float = 0.25  # part of the customers that ask five times what their plan allows
+    back: float = 0.6  # part of those refused who come again, after 50 to 400 ms, up to three times
+    seconds: float = 14.0
+
+
+class Client:
+    """One client's try."""
+
+    def __init__(self, run: Run, row: Row) -> None:
+        self.run, self.row = run, row
+
+    def answered(
+        self, ticket: Ticket, verdict: Verdict, value: memoryview | None, retry_after_ms: float
+    ) -> None:
+        """The final answer; some of those refused come again."""
+        run, row = self.run, self.row
+        row.verdict = verdict.value
+        if not run.counts():
+            return
+        run.ends[verdict.value] += 1
+        if verdict is Verdict.REFUSED:
+            held, at = run.meter.stores.get(row.customer, (PLAN.burst, run.kernel.now))
+            held = min(PLAN.burst, held + PLAN.rate * (run.kernel.now - at) / 1000)
+            run.ends["refused with half unused"] += held >= max(row.units, PLAN.burst / 2)
+            if row.number < 3 and run.drawn.random() < run.case.back:
+                again = replace(row, number=row.number + 1, sent=-1.0, verdict="")
+                run.kernel.after(run.drawn.uniform(50.0, 400.0), run.enter, again)
+
+
+class Door(Member):
+    """One that counts what became of its calls."""
+
+    def count(self, name: int, amount: float, keep_ms: float) -> None:
+        """A call to the counter, and how late its answer is."""
+        run: Any = self.flock
+        settings = self.core.settings
+
+        def told(outcome: io.Outcome, total: float, took: float) -> None:
+            if run.counts():
+                run.ends["calls"] += 1
+                run.ends["late"] += outcome is io.Outcome.TIMEOUT
+                run.ends["over 30 ms"] += took > settings.counter_timeout_ms
+            self.timed(self.core.counted, name, outcome, total, took)
+
+        run.counter.add(name, amount, settings.counter_wait_ms, told)
+
+
+class Run(Flock):
+    """One case."""
+
+    def __init__(self, case: Case) -> None:
+        self.case, self.drawn, self.ends = case, random.Random(f"crowded {case.seed}"), Tally[str]()
+        settings = replace(SITE, gateways=case.limiters)
+        fleet = Fleet(servers=60, cores=8, room=60, work_ms=(100.0, 100.0))
+        super().__init__(settings, seed=case.seed, linked=False, fleet=fleet)
+        self.counter.service_ms = 1000.0 / (case.per_s * case.bears)
+        quiet = int(case.customers * (1 - case.over))
+        weights = [1.0] * quiet + [6.0] * (case.customers - quiet)
+        at = 0.0
+        while at < 1000.0 * case.seconds:
+            at += self.drawn.expovariate(case.per_s) * 1000.0
+            (who,) = self.drawn.choices(range(case.customers), weights)
+            units = float(self.drawn.choice((1, 1, 2, 3)))
+            row = Row("", "x", who + 1, 0, 0, 0, units, 0, at)
+            self.kernel.at(START_MS + at, self.enter, row)
+
+    def make(self, index: int) -> Any:
+        """A limiter."""
+        return Door(self, index, replace(self.settings, index=index), 0)
+
+    def counts(self) -> bool:
+        """Whether the run has warmed up."""
+        return self.now >= BEGIN_MS
+
+    def enter(self, row: Row) -> None:
+        """A try comes through one of the customer's doors."""
+        case = self.case
+        first = row.customer * 7919 % case.limiters
+        row.limiter = (first + self.drawn.randrange(case.doors)) % case.limiters
+        row.at = self.now
+        limiter: Any = self.limiters[row.limiter]
+        self.ends["asked"] += self.counts()
+        limiter.timed(
+            limiter.core.arrive, Client(self, row), (row, 100.0), customer=f"{row.customer:016x}", plan=0,
+            kind=0, expires_ms=3000.0, units=row.units, doors=case.doors, first_door=first,
+        )  # fmt: skip
+
+    def play(self) -> dict[str, float]:
+        """To its end."""
+        self.run(BEGIN_MS)
+        before = self.meter.inside, self.meter.beyond
+        self.run(1000.0 * self.case.seconds + 3000.0)
+        inside, beyond = self.meter.inside - before[0], self.meter.beyond - before[1]
+        ends, asked = self.ends, max(1, self.ends["asked"])
+        return {
+            "calls a try": round(ends["calls"] / asked, 2),
+            "no answer": round(ends["late"] / max(1, ends["calls"]), 3),
+            "over 30 ms": round(ends["over 30 ms"] / max(1, ends["calls"]), 3),
+            "beyond": round(beyond / (inside + beyond), 3),
+            "half unused": round(ends["refused with half unused"] / asked, 3),
+            "refused": round(ends["refused"] / asked, 3),
+            "inside a second": round(inside / (self.case.seconds - BEGIN_MS / 1000), 1),
+        }
+
+
+def main() -> None:
+    """The table."""
+    for bears in (1.0, 0.5, 0.25):
+        for seed in (1, 2):
+            print(bears, seed, Run(Case(bears, seed=seed)).play(), flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/scalelb/lab/model.py
+++ b/scalelb/lab/model.py
@@ -167,7 +167,7 @@
 
     def count(self, name: int, amount: float, keep_ms: float) -> None:
         """A call to the counter."""
-        timeout = self.core.settings.counter_timeout_ms
+        timeout = self.core.settings.counter_wait_ms
 
         def told(outcome: io.Outcome, total: float, took: float) -> None:
             self.timed(self.core.counted, name, outcome, total, took)
--- a/scalelb/middleware/host.py
+++ b/scalelb/middleware/host.py
@@ -57,7 +57,7 @@
         began, outcome, total = self.clock(), io.Outcome.CONNECT_FAILED, 0.0
         if self.add is not None:
             try:
-                timeout = self.settings.counter_timeout_ms / 1000
+                timeout = self.settings.counter_wait_ms / 1000
                 total = await asyncio.wait_for(self.add(name, amount, keep_ms), timeout)
                 # Guards the quota: what is no number was added, but says nothing of the others' use.
                 outcome = io.Outcome.OK if isfinite(total) else io.Outcome.ERROR
--- a/scalelb/program/loop.py
+++ b/scalelb/program/loop.py
@@ -43,7 +43,7 @@
         self.pool = Pool(reactor, clock, log, pool)
         self.counter: CounterClient | None = None
         if config.counter:
-            timeout = config.settings.counter_timeout_ms
+            timeout = config.settings.counter_wait_ms
             self.counter = CounterClient(reactor, clock, config.counter, timeout, self.core.counted, log)
         self.alarm: Delay | None = None
         self.alarm_at = 0.0
--- a/scalelb/program/peering.py
+++ b/scalelb/program/peering.py
@@ -7,7 +7,9 @@
     u:CUSTOMER  account    read by the next life of the same limiter: what was granted stays granted, and
                            never more is on hand than this life's own share
     x:BACKEND   by hand    read by the next life, and by all where `bans` says "fleet": it drains
-    b:BACKEND   bad        read by who knows nothing of it: looks slower if two say so, own answers go first
+    b:BACKEND   bad        two say so: one limiter tries it for all (rendezvous over those alive), the others
+                           send it nothing while there are others; one voice alone does nothing
+    t:BACKEND   tried      by who tries for all: good again
     g:BACKEND   gone       read by who still has it listed: nothing new goes there if two say so, until
                            the list tells more
     k:          single tries   `scalelb/program/tries.py`
@@ -29,12 +31,15 @@
 from scalelb.routing.bans import Bans, Word
 from scalelb.routing.core import Core
 from scalelb.routing.handover import take_out
+from scalelb.routing.keys import homes
 from scalelb.routing.state import Customer
 
 ACCOUNTS_MOST = 100_000  # published at once
 ENDED = 64  # accounts looked at in one tick, whether their store is full again
 LOOK_MS = 1000.0  # between two looks at the backends
-BAD, HEARD, PRIOR = 0.5, 1.2, 0.3  # failing from here on, of so many answers, is told; what it is taken for
+BAD, HEARD = 0.5, 1.2  # failing from here on, of so many answers, is told
+GOODS, TRUST_MS, HOLD_MS = 2, 10_000.0, 2500.0  # good answers in a row that are told, so long; held back
+OF_BACKENDS = ("b:", "g:", "t:")
 VOICES, PART = 2, 0.25  # that have to say so; the part of the backends that peers can speak against at most
 CLOSE_MS = 120_000.0  # after which what former lives told of is over
 GONE_MS = 60_000.0  # that a backend which has left the list is told of
@@ -72,6 +77,10 @@
         self.gone: dict[str, float] = {}  # backends that have left the list, when
         self.listed: set[str] = set()
         self.distrusted: set[str] = set()  # backends held back for peers' words alone
+        self.agreed: dict[str, str] = {}  # bad ones, and who tries each for all
+        self.trusted: dict[str, float] = {}  # those that this limiter has found good again, when
+        self.relied: dict[str, float] = {}  # those that another has, whose word was taken, when
+        self.said: dict[str, set[Life]] = {}  # who says what of a backend
         self.tries = Tries(core, clock, self.write, flush)
         mesh.on_settled, mesh.on_closed, mesh.on_entry = self.settled, self.closed, self.entered
         # Until it has settled nobody gets a fresh share: a former life may have granted it.
@@ -136,10 +145,21 @@
         lasts = health.memory(gateway.gap, len(gateway.servers))
         own = self.mesh.own().entries
         for name, server in gateway.servers.items():
+            key, tried = "b:" + name, "t:" + name
+            said = key in own and own[key].value is not None
             bad = server.failing * exp((server.marked - at) / lasts) > BAD and server.heard >= HEARD
-            key = "b:" + name
-            if bad != (key in own and own[key].value is not None):
+            # What is agreed on stays said until it was tried: else all would find it out anew.
+            bad |= said and name in self.agreed and name not in self.relied and server.goods < GOODS
+            if bad != said:
                 self.mesh.write(key, [round(server.info.started_ms)] if bad else None, now)
+            if self.agreed.get(name) == self.mesh.life.name and server.goods >= GOODS:
+                self.trusted[name] = at
+                self.mesh.write(tried, [round(server.info.started_ms)], now)
+        for name, when in list(self.trusted.items()):
+            server_ = gateway.servers.get(name)
+            if at - when > TRUST_MS or server_ is None or server_.goods < GOODS:
+                del self.trusted[name]
+                self.mesh.write("t:" + name, None, now)
         listed = set(self.bans.listed)
         for name in self.listed - listed:
             self.gone[name] = at
@@ -186,6 +206,8 @@
         """A peer's entry is new here, or has ended."""
         if key[:2] == KEYED:
             self.tries.entered(life, key[2:], value)
+        elif key[:2] in OF_BACKENDS and life.name != self.mesh.life.name:
+            self._heard(life, key, value is not None)
         if key[:2] != "x:" or value is None or (life.name != self.mesh.life.name and self.whose is Whose.OWN):
             return
         match value:
@@ -193,38 +215,50 @@
                 if self.bans.join([(key[2:], Word(float(at), out))]):
                     self.banned([key[2:]])
 
+    def _heard(self, life: Life, key: str, says: bool) -> None:
+        """A peer's word on a backend, or its end.  Guards the memory: no more than are listed."""
+        if says and (key in self.said or len(self.said) < 3 * len(self.bans.listed)):
+            self.said.setdefault(key, set()).add(life)
+        elif not says and (lives := self.said.get(key)) is not None:
+            lives.discard(life)
+            if not lives:
+                del self.said[key]
+
     def _heed(self, at: float) -> None:
-        """What peers say of backends.  Two have to say so, of few backends, and whoever has answers of its
-        own goes by those: one wrong peer alone takes no healthy backend out."""
-        bad, gone = self._voices("b:"), self._voices("g:")
-        gateway = self.core.gateway
-        most = int(PART * len(gateway.servers))
-        lasts = health.memory(gateway.gap, len(gateway.servers))
-        for name in sorted(bad, key=lambda n: (-len(bad[n]), n))[:most]:
-            server = gateway.servers.get(name)
-            if server is None or len(bad[name]) < VOICES:
-                continue
-            if server.heard * exp((server.marked - at) / lasts) > 0.5:
-                continue
-            server.failing, server.marked = max(server.failing, PRIOR), at
-        held = [n for n in sorted(gone) if len(gone[n]) >= VOICES and n in self.bans.listed]
-        distrusted = set(held[: max(1, int(PART * len(self.bans.listed)))])
+        """What peers say of backends.  Two have to say so, of few backends: one wrong peer alone takes no
+        healthy backend out, and where most look bad it is not they that are."""
+        mesh, servers, listed = self.mesh, self.core.gateway.servers, self.bans.listed
+        own = {key for key, entry in mesh.own().entries.items() if entry.value is not None}
+        alone = mesh.alone(mesh_now := self.written)
+        alive = [] if alone else mesh.alive(mesh_now)
+        bad = {n: len(self._voices("b:" + n)) + ("b:" + n in own) for n in servers}
+        agreed = sorted((n for n in bad if bad[n] >= VOICES), key=lambda n: (-bad[n], n))
+        most = max(1, int(PART * len(servers)))
+        agreed = agreed if alive and len(agreed) <= most else []
+        self.agreed = {n: homes(n, alive)[0] for n in agreed}
+        for name, trier in self.agreed.items():
+            server = servers[name]
+            if trier == mesh.life.name:
+                continue  # tries it by its own marks, as one limiter does
+            if trier not in self._voices("t:" + name):
+                server.down = max(server.down, at + HOLD_MS)
+            elif name not in self.relied:  # once for each word: own answers count from here on
+                self.relied[name] = at
+                health.trust(server, self.core.gateway.usual)
+        for name in [n for n, when in self.relied.items() if at - when > TRUST_MS]:
+            del self.relied[name]
+        gone = [n for n in sorted(listed) if len(self._voices("g:" + n)) >= VOICES]
+        distrusted = set(gone[: max(1, int(PART * len(listed)))])
         if distrusted != self.distrusted:
             changed, self.distrusted = distrusted ^ self.distrusted, distrusted
             self.bans.held = distrusted
             self.banned(sorted(changed))
             self.log("heeded", gone=sorted(distrusted))
 
-    def _voices(self, kind: str) -> dict[str, set[str]]:
-        """Which members say something of a backend; this one's own word is not among them."""
-        said: dict[str, set[str]] = {}
-        for life, chain in self.mesh.replica.chains.items():
-            if life.name == self.mesh.life.name or self.mesh.replica.newest(life.name) != life:
-                continue
-            for key, _ in chain.live():
-                if key[:2] == kind:
-                    said.setdefault(key[2:], set()).add(life.name)
-        return said
+    def _voices(self, key: str) -> set[str]:
+        """Which members say something; this one's own word is not among them."""
+        newest = self.mesh.replica.newest
+        return {life.name for life in self.said.get(key, ()) if newest(life.name) == life}
 
     def digest(self) -> str:
         """What is held here, in a few letters: a chain's version says what is in it."""
--- a/scalelb/routing/control.py
+++ b/scalelb/routing/control.py
@@ -13,6 +13,7 @@
 
 from scalelb.fairness.records import Records
 from scalelb.overload import thin
+from scalelb.overload.crowd import Crowd
 from scalelb.routing import health, ledger
 from scalelb.routing import interface as io
 from scalelb.routing.keys import group, homes
@@ -22,10 +23,9 @@
 COST_WEIGHT, FLEET_WEIGHT = 0.1, 0.05  # of the newest answer in running averages
 AHEAD_S, AHEAD, DEMAND_S = 1.0, 3.0, 2.0  # a block covers so much demand, or requests; memory of the demand
 OWED, SAMPLE = 1.0, 2.0  # units of a shared store that are told at once; requests that one may stand for
-ASK_CUT, ASK_GROW, ASK_LEAST = 0.7, 0.02, 0.03  # a crowded counter is asked less often, for more at a time
 HOLD, EASE, SPARE_WAIT = 0.5, 0.15, 0.1  # of the aim: longest wait for credit; latency at ease; soft wait
 NEED, NEED_MOST = 1.5, 0.6  # usual latencies, parts of the aim, that must be left when a request is sent
-CALLS_OUT, CALL_AGE, BACKOFF_MS = 16, 4.0, (50.0, 1000.0)  # calls out; time-outs for one; silences on failure
+CALLS_OUT, CALL_AGE = 16, 4.0  # calls out; time-outs for one
 ASK_MS = 100.0  # between two calls for a customer that found the store empty
 IDLE_MS, FORGET_MS = 3000.0, 20_000.0  # the idle hand back, are forgotten
 PATIENCE = (0.5, 4.0)  # a repeatable attempt is given up after this part of the aim, or these usual latencies
@@ -48,7 +48,7 @@
         self.settings, self.aim = settings, min(kind.aim_ms for kind in settings.classes)
         self.usual, self.mean = 0.1 * self.aim, ledger.mean_units(settings)  # latency, units
         self.random, self.retries = random.Random(seed), 1.0  # further attempts kept
-        self.worth, self.ask, self.open = settings.classes[0].worth, 1.0, 1.0  # counter asked; let in
+        self.worth, self.open, self.crowd = settings.classes[0].worth, 1.0, Crowd(settings.counter_timeout_ms)
         self.deciders: dict[type, Callable[[float, Any], None]] = {
             io.RequestArrived: self._arrive, io.AttemptEnded: self._ended, io.CounterReplied: self._replied,
             io.RequestGone: self._gone, io.ServersListed: self._listed, io.TimerFired: self._turn}
@@ -87,10 +87,10 @@
         self.worth += FLEET_WEIGHT * (kind.worth - self.worth)
         # Guards a fleet that no single gateway's limits relieve; what is worth more gives way less.
         shed = self.random.random() > self.open ** (self.worth / max(kind.worth, 1e-9))
-        if shed or now > self._latest(request):
+        lost = shed or now > self._latest(request)  # or the counter found it empty, and is crowded
+        if lost or (not (chance := self._chance(request, repeat)) and c.broke and not self.backoff):
             self._end(request)
             return
-        chance = self._chance(request, repeat)
         first = not c.queue or request.kind.worth > c.queue[0].kind.worth
         if not first or self._lacks(request) > 0 or not self._send(request, now):
             self._enqueue(request, now)
@@ -108,7 +108,7 @@
 
     def _trim(self, c: Customer, now: float) -> None:
         """Give up at once what neither the credit nor the cap on attempts lets go in time."""
-        ahead = 0.0 if c.shared else -c.balance - max(c.block, self._told(c, now))
+        ahead = 0.0 if c.shared else -c.balance - max(c.block, c.told_here(now, self.backoff))
         place = c.out
         for request in list(c.queue):
             most = c.reach(self._latest(request)) - request.units + 1e-6
@@ -120,9 +120,6 @@
             else:
                 ahead, place = ahead + request.units * (not request.sends), place + 1
 
-    def _told(self, c: Customer, now: float) -> float:
-        return 0.0 if self.backoff else c.told(now) / (1 if c.shared else c.doors)  # for this door
-
     def _rouse(self, c: Customer, at: float) -> None:
         self.active[c.name], c.wake, self.wake = c, min(c.wake, at), min(self.wake, at)
 
@@ -153,7 +150,7 @@
         this door's share of the rate, units/s; nothing of one that is not known or has no quota."""
         if (c := self.customers.get(customer)) is None or not c.plan.rate:
             return None
-        return c.balance + max(c.block, self._told(c, now)) - c.queued, c.plan.rate / c.doors
+        return c.balance + max(c.block, c.told_here(now, self.backoff)) - c.queued, c.plan.rate / c.doors
 
     def need(self, kind: io.RequestClass) -> float:
         """Milliseconds of the aim that must be left when a request is sent."""
@@ -178,10 +175,11 @@
         c = request.customer
         if not c.shared or c.balance >= request.units or self._counted(request):
             return True
-        drawn, request.barred = c.broke or self.random.random() < self.ask, not self.backoff
-        if not drawn and not self.backoff and c.reach(self._latest(request)) >= request.units:
+        drawn, request.barred = self.random.random() < self.crowd.part, not self.backoff
+        if not drawn and not (self.backoff or c.broke) and c.reach(self._latest(request)) >= request.units:
             c.balance = request.units
-        c.unreported += request.units * min(SAMPLE, 1 / self.ask - 1) * (drawn and not (c.broke or c.calling))
+        more = min(SAMPLE, 1 / self.crowd.part - 1) * (drawn and not (c.broke or c.calling))
+        c.unreported += request.units * more
         return drawn
 
     def _lacks(self, request: Request) -> float:
@@ -250,7 +248,7 @@
             self.spare, self.open = 0.0, min(1.0, self.open * REOPEN)
             self._rank(now)
             for name, c in list(self.calls.items()):
-                if now - c.called > CALL_AGE * self.settings.counter_timeout_ms + HOUSE_MS:  # none comes
+                if now - c.called > CALL_AGE * self.settings.counter_wait_ms + HOUSE_MS:  # none comes
                     self._replied(now, io.CounterReplied(name, io.Outcome.TIMEOUT, 0.0, now - c.called))
             self.unvisited = list(self.customers.values())
         some, self.unvisited = self.unvisited[:VISITS], self.unvisited[VISITS:]  # guards the others' turn
@@ -262,7 +260,9 @@
                 self._credit(c, now)
             idle = now - c.seen
             self.spare += max(0.0, c.balance) * (not c.queue)
-            self._lease(c, now, False)
+            part = self.crowd.part  # guards the counter: what is owed can wait
+            if part >= 1 or self.random.random() < part:
+                self._lease(c, now, False)
             if idle > IDLE_MS and c.balance > c.estimate and c.window >= 0:
                 self._call(c, now, -c.balance)
             if idle > FORGET_MS:
@@ -465,7 +465,7 @@
     def _call(self, c: Customer, now: float, ask: float) -> None:
         """Add to the customer's count what it was granted unseen and what is asked for now."""
         most, (window, began) = 1 if self.backoff else CALLS_OUT, ledger.window(c.name * c.shared, now)
-        if c.calling or now < self.call_at or len(self.calls) >= most * self.settings.counter:
+        if c.calling or now < self.crowd.call_at or len(self.calls) >= most * self.settings.counter:
             return
         c.turn(window, began)
         c.amount, c.asked, c.balance = c.unreported + ask, ask, c.balance + min(0.0, ask)
@@ -485,13 +485,12 @@
         total = c.total + c.amount if e.outcome is io.Outcome.ERROR else e.total
         if e.outcome not in (io.Outcome.OK, io.Outcome.ERROR):
             # Perhaps added: no grant, no repeat.  Surely not added: what was owed to the counter stays owed.
-            c.unreported = 0.0 if e.outcome is io.Outcome.TIMEOUT else c.unreported + min(0.0, c.asked)
-            self.ask = max(ASK_LEAST, self.ask * ASK_CUT)
-            self.backoff = min(BACKOFF_MS[1], max(BACKOFF_MS[0], 2 * self.backoff))
-            self.call_at = now + self.backoff
+            added = e.outcome is io.Outcome.TIMEOUT
+            c.unreported = 0.0 if added else c.unreported + min(0.0, c.asked)
+            self.crowd.miss(now)
             c.free()
             return
-        self.backoff, self.ask = 0.0, min(1.0, self.ask + ASK_GROW)
+        self.crowd.heard(now, e.elapsed_ms)
         c.unreported -= 0.0 if c.reading else c.amount - c.asked
         if ledger.first(c, total):
             self._count(c, now, ledger.name(c.name, c.window - 1), 0.0)
--- a/scalelb/routing/health.py
+++ b/scalelb/routing/health.py
@@ -33,6 +33,7 @@
     old = usual + (s.latency - usual) * fade
     s.latency = old + weight * (latency - old)
     s.failing = s.failing * fade * (1 - weight) + weight * (outcome is not io.Outcome.OK)
+    s.goods = s.goods + 1 if outcome is io.Outcome.OK else 0
     s.misses = min(s.misses + 1, 8) if outcome is io.Outcome.CONNECT_FAILED else 0
     if outcome in KEPT:
         s.ready, s.used = s.ready + 1, now
@@ -63,3 +64,9 @@
 def renew(s: Server, usual: float, limit: float) -> None:
     """It has started anew: nothing of it is known."""
     s.latency, s.failing, s.limit, s.heard, s.misses, s.down, s.ready = usual, 0.0, limit, 0.0, 0, 0.0, 0
+    s.goods = 0
+
+
+def trust(s: Server, usual: float) -> None:
+    """Another limiter has found it good again: what was held against it here is over."""
+    s.latency, s.failing, s.heard, s.misses, s.down = min(s.latency, usual), 0.0, 0.0, 0, 0.0
--- a/scalelb/routing/interface.py
+++ b/scalelb/routing/interface.py
@@ -52,6 +52,8 @@
 # Of the time after which a server closes an idle connection: ours rest no longer.  The decisions count the
 # connections that the pool keeps, so both go by it.
 REST = 0.5
+# Of the least aim: how long an answer of the counter is waited for.  A word that comes late is a word.
+COUNT_WAIT = 0.15
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,6 +110,12 @@
     idle_ms: float = 0.0  # a server closes a connection after so long
     must_ask_ms: float = 10_000.0  # then: who has not asked for so long counts as told
 
+    @property
+    def counter_wait_ms(self) -> float:
+        """How long an answer of the counter is waited for; one that takes longer than `counter_timeout_ms`
+        tells of a crowd."""
+        return max(self.counter_timeout_ms, COUNT_WAIT * min(kind.aim_ms for kind in self.classes))
+
     def __post_init__(self) -> None:
         """Guards the decisions' arithmetic, whoever made the settings."""
         if not self.classes or not self.plans or self.gateways < 1 or self.attempt_limit < 1:
--- a/scalelb/routing/keys.py
+++ b/scalelb/routing/keys.py
@@ -5,10 +5,12 @@
 
 from collections.abc import Iterable
 from hashlib import blake2b
+from typing import TypeVar
 
 from scalelb.routing import interface as io
 
 KEYS_MOST = 8192
+G = TypeVar("G", int, int | None, str)
 
 
 def group(info: io.ServerInfo, kind: io.Group) -> int | None:
@@ -16,9 +18,9 @@
     return {io.Group.ALL: None, io.Group.ZONE: info.zone, io.Group.CELL: info.cell}[kind]
 
 
-def homes(key: str, groups: Iterable[int | None]) -> list[int | None]:
-    """The groups in the order in which a key's first try goes to them: the same at every limiter, and a group
-    that comes or goes moves its own keys alone (rendezvous hashing, Thaler and Ravishankar, 1998)."""
+def homes(key: str, groups: Iterable[G]) -> list[G]:
+    """The groups in the order in which they are a key's: the same at every limiter, and a group that comes or
+    goes moves its own keys alone (rendezvous hashing, Thaler and Ravishankar, 1998)."""
     return sorted(groups, key=lambda one: blake2b(f"{key} {one}".encode(), digest_size=8).digest())
 
 
--- a/scalelb/routing/state.py
+++ b/scalelb/routing/state.py
@@ -6,6 +6,7 @@
 from math import inf
 
 from scalelb.fairness.records import Record, Records
+from scalelb.overload.crowd import Crowd
 from scalelb.routing import interface as io
 from scalelb.routing.keys import Keys
 
@@ -103,6 +104,10 @@
         """What the counter's last word leaves of the store for all doors, at least nothing."""
         return max(0.0, min(self.room(), self.filled(now))) if self.window >= 0 else 0.0
 
+    def told_here(self, now: float, silent: float) -> float:
+        """This door's share of it; nothing while the counter is silent."""
+        return 0.0 if silent else self.told(now) / (1 if self.shared else self.doors)
+
     def reach(self, at: float) -> float:
         """The most units that a shared store can have for this door until then, by the counter's word."""
         return self.balance + self.block + min(self.plan.burst, self.filled(at))
@@ -177,6 +182,7 @@
     load: float = 0.0  # estimated outstanding load, in mean requests
     cut: float = 0.0  # when the limit was last cut
     heard: float = 0.0  # answers that still count
+    goods: int = 0  # good answers since the last that was none
     misses: int = 0  # connects that failed in a row
     down: float = 0.0  # left out until then
     ready: int = 0  # connections to it that are open and free
@@ -219,8 +225,7 @@
     records: Records = field(default_factory=lambda: Records(b""))  # of customers that were let go
     unvisited: list[Customer] = field(default_factory=list)  # in this round of house-keeping
     keys: Keys = field(default_factory=Keys)  # counted for the other doors
-    backoff: float = 0.0
-    call_at: float = 0.0  # no counter call before
+    crowd: Crowd = field(default_factory=lambda: Crowd(0.0))  # what may be asked of the counter
     spare: float = 0.0  # units of quiet customers
     blocked: bool = False  # no server has room
     gap: float = 0.0  # mean ms between answers
@@ -231,6 +236,20 @@
     housed: bool = False  # whether house-keeping is due
     actions: list[io.Action] = field(default_factory=list)
 
+    @property
+    def backoff(self) -> float:
+        """How long the counter is left alone, as it is silent; 0: it is not."""
+        return self.crowd.pause
+
+    @property
+    def ask(self) -> float:
+        """The part of the tries that the counter is asked for."""
+        return self.crowd.part
+
+    @ask.setter
+    def ask(self, part: float) -> None:
+        self.crowd.part = part
+
     def knows(self, customer: str) -> bool:
         """Whether a customer was seen lately."""
         return customer in self.customers or self.records.knows(customer)
