--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -11,24 +11,30 @@
 
 ROOT = Path(__file__).parent.parent
 SOURCES = sorted((ROOT / "scalelb").rglob("*.py"))
+# fmt: off
 MAY_USE = {
     "fairness": {"fairness"},
     "overload": {"overload"},
+    "agreement": {"agreement"},
     "routing": {"fairness", "overload", "routing"},
     "protocol": {"protocol"},
     "transport": {"routing", "protocol", "transport"},
     "middleware": {"fairness", "routing", "protocol", "middleware"},
     "peers": {"peers"},
-    "program": {"fairness", "overload", "peers", "routing", "protocol", "transport", "program"},
-    "lab": {"fairness", "overload", "peers", "routing", "protocol", "transport", "program", "lab"},
+    "program": {"agreement", "fairness", "overload", "peers", "routing", "protocol", "transport", "program"},
+    "lab": {
+        "agreement", "fairness", "overload", "peers", "routing", "protocol", "transport", "program", "lab",
+    },
     "__main__": {"lab"},
     "wirehost": {"routing", "program", "wirehost"},
     "__init__": {"routing"},
 }
+# fmt: on
 FOREIGN = {
     "fairness": {"twisted", "socket", "grpc", "httptools", "orjson", "time", "random"},
     "routing": {"twisted", "socket", "grpc", "httptools", "orjson"},
     "protocol": {"twisted", "socket"},
+    "agreement": {"twisted", "socket", "grpc", "httptools", "orjson", "time", "random"},
     "overload": {"twisted", "socket", "grpc", "httptools", "orjson", "time", "random"},
     "peers": {"twisted", "socket", "grpc", "httptools", "orjson", "time", "random"},
 }
@@ -57,7 +63,7 @@
 
 def test_the_program_does_without_the_extras_until_they_are_configured() -> None:
     extras = (
-        "grpc google.protobuf starlette numpy pyarrow click scalelb.lab scalelb.peers "
+        "grpc google.protobuf starlette numpy pyarrow click scalelb.lab scalelb.peers scalelb.agreement "
         "scalelb.program.links scalelb.program.peering scalelb.transport.peerlink asyncio"
     )
     code = (
