Let a test that waits for a log line end after 60 s

Cause: Limiter.until read the log without an end; a line that never came hung the whole suite for 20 minutes. Change: the process is ended after 60 s, and the wait fails with the event's name.

--- a/tests/processes.py
+++ b/tests/processes.py
@@ -101,10 +101,15 @@
     def until(self, event: str, **told: Any) -> dict[str, Any]:
         """The next line of this event that says so."""
         assert self.process.stderr is not None
-        for line in self.process.stderr:
-            said: dict[str, Any] = json.loads(line)
-            if said["event"] == event and told.items() <= said.items():
-                return said
+        late = threading.Timer(PATIENCE, self.process.kill)  # a line that never comes
+        late.start()
+        try:
+            for line in self.process.stderr:
+                said: dict[str, Any] = json.loads(line)
+                if said["event"] == event and told.items() <= said.items():
+                    return said
+        finally:
+            late.cancel()
         raise AssertionError(f"the program ended before '{event}'")
 
     def client(self, port: int | None = None) -> socket.socket:
