Take out what the last read found dead in links and agreement

Cause: Learner.runs_until was called by nobody; in Peering a key stood twice, a name was a makeshift and two locals served one call. Change: those are gone; behaviour is as it was.

--- a/scalelb/agreement/learner.py
+++ b/scalelb/agreement/learner.py
@@ -30,12 +30,6 @@
             self._move()
         return self.version if self._count(self.until, now) >= majority(len(self.voters)) else 0
 
-    def runs_until(self) -> float:
-        """When the permission ends unless it is renewed; minus infinity without one."""
-        some = sorted(self.until.values(), reverse=True)
-        needed = majority(len(self.voters))
-        return some[needed - 1] if len(some) >= needed else float("-inf")
-
     def ask(self, now: float) -> Word:
         """Ask all voters for a permission."""
         self.ask_number += 1
--- a/scalelb/overload/thin.py
+++ b/scalelb/overload/thin.py
@@ -19,7 +19,6 @@
 KEPT_FLEET, KEPT_LEAST = 30.0, 1.0  # repeats kept over all limiters; by one
 HEARD_MS, FEWEST = 1000.0, 6  # each backend of a stretch is heard of so often; backends in it at least
 
-
 T = TypeVar("T")
 
 
--- a/scalelb/program/peering.py
+++ b/scalelb/program/peering.py
@@ -145,7 +145,7 @@
         lasts = health.memory(gateway.gap, len(gateway.servers))
         own = self.mesh.own().entries
         for name, server in gateway.servers.items():
-            key, tried = "b:" + name, "t:" + name
+            key = "b:" + name
             said = key in own and own[key].value is not None
             bad = server.failing * exp((server.marked - at) / lasts) > BAD and server.heard >= HEARD
             # What is agreed on stays said until it was tried: else all would find it out anew.
@@ -154,10 +154,10 @@
                 self.mesh.write(key, [round(server.info.started_ms)] if bad else None, now)
             if self.agreed.get(name) == self.mesh.life.name and server.goods >= GOODS:
                 self.trusted[name] = at
-                self.mesh.write(tried, [round(server.info.started_ms)], now)
+                self.mesh.write("t:" + name, [round(server.info.started_ms)], now)
         for name, when in list(self.trusted.items()):
-            server_ = gateway.servers.get(name)
-            if at - when > TRUST_MS or server_ is None or server_.goods < GOODS:
+            goods = gateway.servers[name].goods if name in gateway.servers else 0
+            if at - when > TRUST_MS or goods < GOODS:
                 del self.trusted[name]
                 self.mesh.write("t:" + name, None, now)
         listed = set(self.bans.listed)
@@ -229,8 +229,7 @@
         healthy backend out, and where most look bad it is not they that are."""
         mesh, servers, listed = self.mesh, self.core.gateway.servers, self.bans.listed
         own = {key for key, entry in mesh.own().entries.items() if entry.value is not None}
-        alone = mesh.alone(mesh_now := self.written)
-        alive = [] if alone else mesh.alive(mesh_now)
+        alive = [] if mesh.alone(self.written) else mesh.alive(self.written)
         bad = {n: len(self._voices("b:" + n)) + ("b:" + n in own) for n in servers}
         agreed = sorted((n for n in bad if bad[n] >= VOICES), key=lambda n: (-bad[n], n))
         most = max(1, int(PART * len(servers)))
