Force the crossings of ends on real sockets; send what a drain gave up elsewhere at once

tests/test_crossings.py runs the program among peers whose every step the test takes: a full backlog holds a connection under way, SIGSTOP gathers what is written into one round of the loop.

The decisions hear of the list first now, and a backend that drains is not dialled.

--- a/scalelb/routing/core.py
+++ b/scalelb/routing/core.py
@@ -256,8 +256,9 @@
 
     def listed(self, servers: tuple[io.ServerInfo, ...], full: bool) -> None:
         """The server list, or the entries that changed."""
-        self.ports.listed(servers, full)
+        # The decisions first: what the back side gives up for it may not be sent to the same backend again.
         self.inbox.append(io.ServersListed(servers, full))
+        self.ports.listed(servers, full)
         self._soon()
 
     # One turn
--- a/scalelb/transport/fetch.py
+++ b/scalelb/transport/fetch.py
@@ -208,8 +208,8 @@
                 connection.begin(fetch)
                 return
             connection.spoilt("bytes that nothing asked for, or its end")
-        if len(self.open) >= self.pool.limits.each or not self.pool.room():
-            # Guards the descriptors.  It was never written, and that tells nothing of the backend.
+        if not self.serving or len(self.open) >= self.pool.limits.each or not self.pool.room():
+            # Guards a backend that drains, and the descriptors.  Never written, it tells nothing of it.
             fetch.end(io.Outcome.MOOT)
         else:
             self.dial(fetch)
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 import threading
+import time
 from collections.abc import Callable, Iterator
 from contextlib import suppress
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
@@ -48,6 +49,60 @@
                 connection.sendall(b"*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n")
 
 
+class Peer:
+    """A peer whose every step the test takes; `held`: connections to it stay under way until it accepts."""
+
+    def __init__(self, held: bool = False) -> None:
+        self.server = socket.create_server(("127.0.0.1", 0), backlog=0 if held else 128)
+        self.server.settimeout(PATIENCE)
+        self.port: int = self.server.getsockname()[1]
+        self.filler = socket.create_connection(("127.0.0.1", self.port)) if held else None
+
+    def dialled(self) -> None:
+        """Wait until a connection to it is under way: its first packet is out, and nobody answers."""
+        for _ in eventually():
+            lines = Path("/proc/net/tcp").read_text().splitlines()[1:]
+            if any(f[2].endswith(f":{self.port:04X}") and f[3] == "02" for f in map(str.split, lines)):
+                return
+
+    def accept(self) -> socket.socket:
+        """The next connection that is not the one which kept others out."""
+        if self.filler is not None:
+            self.server.accept()[0].close()
+            self.filler.close()
+            self.filler = None
+        connection, _ = self.server.accept()
+        connection.settimeout(PATIENCE)
+        return connection
+
+
+def eventually() -> Iterator[None]:
+    """Look again and again for what must come; nothing is judged by how soon."""
+    end = time.monotonic() + PATIENCE
+    while time.monotonic() < end:
+        yield
+        time.sleep(0.005)
+    raise AssertionError("it has not come")
+
+
+def until(connection: socket.socket, what: bytes) -> bytes:
+    """All that comes, up to and with this."""
+    came = b""
+    while what not in came:
+        more = connection.recv(65536)
+        assert more, f"it ended after {came!r}"
+        came += more
+    return came
+
+
+def rest(connection: socket.socket) -> bytes:
+    """All that comes up to the peer's end; a reset is no end."""
+    came = b""
+    while more := connection.recv(65536):
+        came += more
+    return came
+
+
 class Director(BaseHTTPRequestHandler):
     """The director: one list, and watches that are held for as long as the test runs."""
 
@@ -71,15 +126,24 @@
     """The program, its log and its port."""
 
     def __init__(
-        self, folder: Path, director: int, heir: socket.socket | None = None, admin: str = "", **fronts: str
+        self,
+        folder: Path,
+        director: int,
+        heir: socket.socket | None = None,
+        admin: str = "",
+        settings: dict[str, Any] | None = None,
+        known: tuple[dict[str, Any], ...] = (),
+        **fronts: str,
     ) -> None:
         config = {
             "name": "n0",
             "listen": "127.0.0.1:0",
             "discovery": f"127.0.0.1:{director}",
             "seed": "1",
-            "settings": SETTINGS,
+            "settings": settings or SETTINGS,
         }
+        if known:
+            config["known"] = {"generation": 2, "reset": True, "instances": known}
         (folder / "config.json").write_text(json.dumps(config))
         doors = [f'[{name}]\nlisten = "{at}"\n' for name, at in fronts.items()]
         (folder / "fronts.toml").write_text("".join(doors))
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,257 @@
+"""Two things that cross, on the program as it is run and real sockets; the order is forced, not hoped for.
+
+A backend or director whose backlog is full keeps a connection under way until the test lets it up.  A limiter
+that is stopped (SIGSTOP) reads nothing: what is written meanwhile is all there in its next round, in order.
+"""
+
+from __future__ import annotations
+
+import json
+import signal
+import socket
+import time
+from collections.abc import Callable, Iterator
+from contextlib import suppress
+from pathlib import Path
+from typing import Any
+
+import pytest
+from processes import PATIENCE, SETTINGS, Limiter, Peer, eventually, rest, until, wire
+from scenario import SERVED, call
+
+Run = Callable[..., Limiter]
+LONG = 60_000
+SITE: dict[str, Any] = json.loads(json.dumps(SETTINGS))
+SITE["limits"] |= {"connect-timeout-ms": 50_000.0, "cancel": False}
+
+
+def entry(peer: Peer, name: str = "s0", state: str = "ready") -> dict[str, Any]:
+    return {"instanceId": name, "hostPort": f"127.0.0.1:{peer.port}", "lifecycle": state}
+
+
+def tell(director: socket.socket, generation: int, *entries: dict[str, Any], full: bool = True) -> None:
+    """Answer the director's next call."""
+    until(director, b"\r\n\r\n")
+    body = json.dumps({"generation": generation, "reset": full, "instances": entries}).encode()
+    director.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+
+
+def ask(limiter: Limiter, number: int) -> socket.socket:
+    client = limiter.client()
+    client.sendall(wire(call(number, wait=LONG)))
+    return client
+
+
+def ident(number: int) -> bytes:
+    return f"{number:016x}".encode()
+
+
+@pytest.fixture
+def run(tmp_path: Path) -> Iterator[Run]:
+    running: list[Limiter] = []
+
+    def begin(director: Peer, *known: dict[str, Any], **more: Any) -> Limiter:
+        running.append(Limiter(tmp_path, director.port, settings=SITE, known=known, **more))
+        return running[-1]
+
+    yield begin
+    for limiter in running:
+        limiter.process.kill()
+        limiter.process.communicate()
+
+
+def test_a_client_that_leaves_while_its_connection_comes_up_has_nothing_sent(run: Run) -> None:
+    director, backend = Peer(), Peer(held=True)
+    limiter = run(director, entry(backend))
+    limiter.until("ready")
+    client = ask(limiter, 1)
+    backend.dialled()
+    client.close()
+    left(limiter)
+    second = ask(limiter, 2)
+    both = [backend.accept(), backend.accept()]  # the one that came up for the first request rests
+    came = b""
+    for _ in eventually():
+        came += serve(backend, both, answer=True)
+        if ident(2) in came:
+            break
+    assert until(second, b"ok\r\n")
+    second.close()
+    limiter.process.send_signal(signal.SIGTERM)
+    for connection in both:
+        connection.settimeout(PATIENCE)
+        came += rest(connection)
+    assert came.count(b"CALL.GET") == 1
+
+
+def left(limiter: Limiter, but: int = 0) -> None:
+    """Wait until the limiter has closed its side too, to all `but` so many: it has seen who left."""
+    for _ in eventually():
+        if sum(state in ("01", "08") for state in states(limiter)) == but:
+            return
+
+
+def test_a_backend_that_drains_while_its_connection_comes_up_gets_nothing(run: Run) -> None:
+    director, backend, other = Peer(), Peer(held=True), Peer()
+    limiter = run(director, entry(backend))
+    calls = director.accept()
+    tell(calls, 3, entry(backend))
+    limiter.until("list", generation=3)
+    client = ask(limiter, 1)
+    backend.dialled()
+    tell(calls, 4, entry(backend, state="draining"), entry(other, "s1"), full=False)
+    at_other = other.accept()  # it goes elsewhere at once, and does not wait for the connection
+    assert ident(1) in until(at_other, b"first=0\r\n")
+    assert "timeout" not in limiter.until("tally")["counts"]
+    at_backend = backend.accept()
+    at_other.sendall(wire(SERVED))
+    assert until(client, b"ok\r\n")
+    client.close()
+    limiter.process.send_signal(signal.SIGTERM)
+    assert rest(at_backend) == b""
+    assert limiter.process.wait(PATIENCE) == 0
+
+
+def test_a_paused_session_whose_client_left_has_nothing_further_sent(run: Run) -> None:
+    # 200 requests at once: the session is read no further, so its end is not seen; some are out, others wait.
+    # As soon as a place was free the next was sent, for a client that had gone.
+    director, backend = Peer(), Peer()
+    limiter = run(director, entry(backend))
+    limiter.until("ready")
+    client, other = limiter.client(), limiter.client()
+    client.sendall(b"".join(wire(call(n, wait=LONG)) for n in range(1, 201)))
+    first = backend.accept()
+    for _ in range(3):  # three rounds of the loop: what is to be sent now is with the kernel
+        other.sendall(wire("*1\n$4\nPING\n"))
+        until(other, b"PONG\r\n")
+    at_backend = [first]
+    out = serve(backend, at_backend, answer=False).count(b"CALL.GET")
+    client.close()
+    for _ in eventually():
+        if "08" in states(limiter):  # its kernel has the client's end, and nobody has read that far
+            break
+    first.sendall(wire(SERVED))  # frees a place: the next that waits would be sent
+    left(limiter, but=1)
+    other.sendall(wire(call(999, wait=LONG, swap=("00000000000000ad", "00000000000000ae"))))
+    came = b""
+    for _ in eventually():
+        came += serve(backend, at_backend, answer=True)
+        if ident(999) in came:
+            break
+    assert out > 0
+    assert came.count(b"CALL.GET") == 1
+
+
+def states(limiter: Limiter) -> list[str]:
+    """What the kernel says of its connections with clients: 01 open, 08 ended by the client."""
+    port = f":{limiter.started['port']:04X}"
+    lines = map(str.split, Path("/proc/net/tcp").read_text().splitlines()[1:])
+    return [f[3] for f in lines if f[1].endswith(port)]
+
+
+def serve(backend: Peer, accepted: list[socket.socket], answer: bool) -> bytes:
+    """Accept and read what is there."""
+    backend.server.setblocking(False)
+    came = b""
+    with suppress(BlockingIOError):
+        while True:
+            accepted.append(backend.server.accept()[0])
+    for connection in accepted:
+        connection.setblocking(False)
+        with suppress(OSError):  # nothing there, or reset as the client has gone
+            came += (more := connection.recv(65536))
+            if answer and more:
+                connection.sendall(wire(SERVED))
+    return came
+
+
+def test_a_request_that_crosses_the_last_answer_of_a_closing_session_is_served(run: Run) -> None:
+    # The session closed with its last answer; what had come meanwhile was read in the same round, taken, sent
+    # on, and lost with the connection.
+    director, backend = Peer(), Peer()
+    limiter = run(director, entry(backend))
+    limiter.until("ready")
+    client = ask(limiter, 1)
+    at_backend = backend.accept()
+    until(at_backend, b"first=0\r\n")
+    limiter.process.send_signal(signal.SIGTERM)
+    limiter.until("stopping")
+    closed(limiter)
+    limiter.process.send_signal(signal.SIGSTOP)
+    at_backend.sendall(wire(SERVED))  # this is seen first,
+    client.sendall(wire(call(2, wait=LONG)))  # and this in the same round
+    limiter.process.send_signal(signal.SIGCONT)
+    assert until(client, b"ok\r\n").endswith(b"$2\r\nok\r\n")
+    assert ident(2) in until(at_backend, b"first=0\r\n")
+    time.sleep(0.2)  # a connection that is about to close has closed: the answer must not win a race
+    at_backend.sendall(wire(SERVED))
+    assert rest(client) == b"$2\r\nok\r\n"
+    client.close()
+    assert limiter.process.wait(PATIENCE) == 0
+
+
+def closed(limiter: Limiter) -> None:
+    """Wait until nobody new is let in."""
+    for _ in eventually():
+        try:
+            limiter.client().close()
+        except ConnectionRefusedError:
+            return
+
+
+def test_what_waits_in_the_backlog_as_the_port_closes_is_served(run: Run) -> None:
+    # The port was closed before the loop had accepted them: they were reset.
+    director, backend = Peer(), Peer()
+    limiter = run(director, entry(backend))
+    limiter.until("ready")
+    with limiter.client() as first:  # Twisted accepts as many in a round as the last one brought, then more
+        first.sendall(wire("*1\n$4\nPING\n"))
+        until(first, b"PONG\r\n")
+    limiter.process.send_signal(signal.SIGTERM)
+    limiter.until("stopping")
+    limiter.process.send_signal(signal.SIGSTOP)
+    # More than the loop accepts in one round, each of another customer; the kernel has accepted them.
+    clients = [limiter.client() for _ in range(40)]
+    for number, client in enumerate(clients):
+        client.sendall(wire(call(number, wait=LONG, swap=("00000000000000ad", f"{number:016x}"))))
+    time.sleep(1.0)  # the end is due by now: it comes after the loop's first round
+    limiter.process.send_signal(signal.SIGCONT)
+    at_backend: list[socket.socket] = []
+    answers = [b""] * len(clients)
+    for _ in eventually():
+        serve(backend, at_backend, answer=True)
+        for place, client in enumerate(clients):
+            client.setblocking(False)
+            with suppress(BlockingIOError):
+                answers[place] += client.recv(100)
+        if all(answers):
+            break
+    assert set(answers) == {b"$2\r\nok\r\n"}
+    assert limiter.process.wait(PATIENCE) == 0
+
+
+def test_sigterm_while_the_director_can_not_be_reached_ends_the_program(run: Run) -> None:
+    director, backend = Peer(held=True), Peer()
+    limiter = run(director, entry(backend))
+    limiter.until("ready")
+    director.dialled()
+    for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):  # and again while it drains
+        limiter.process.send_signal(number)
+    assert limiter.process.wait(PATIENCE) == 0
+
+
+def test_a_client_that_rests_until_the_end_has_its_answer_and_an_end_that_is_no_reset(run: Run) -> None:
+    director, backend = Peer(), Peer()
+    limiter = run(director, entry(backend))
+    limiter.until("ready")
+    resting, silent = ask(limiter, 1), limiter.client()
+    at_backend = backend.accept()
+    until(at_backend, b"first=0\r\n")
+    at_backend.sendall(wire(SERVED))
+    for _ in eventually():
+        if len(resting.recv(100, socket.MSG_PEEK)) == 8:
+            break
+    limiter.process.send_signal(signal.SIGTERM)
+    assert rest(resting) == b"$2\r\nok\r\n"
+    assert rest(silent) == b""
+    assert limiter.process.wait(PATIENCE) == 0
