Pass over what KNOWN-RED.txt names, and nothing else, in every run of the tests

Need: a test that is red for a real fault may land if it is listed. tests/known_red.py reads the file, marks what it names as a strict xfail and prints the lines; a fourth line, one without its three parts, one that names no test, or one whose test is green again fails the run.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,4 +5,4 @@
 
 sys.path[:0] = [str(Path(__file__).parent), str(Path(__file__).parent.parent)]
 
-pytest_plugins = ["processes"]
+pytest_plugins = ["processes", "known_red"]
