Let tries that are not asked for pass by what one beyond its quota costs its plan

The settings say what it costs: a plan whose requests cost beyond the quota what they bring within (over-cost 1) passes as many as are granted, one that costs half passes all from half on.

--- a/scalelb/overload/crowd.py
+++ b/scalelb/overload/crowd.py
@@ -9,7 +9,8 @@
 
 Those that are not asked for are within their quotas as often as those that are, and which, no limiter of many
 knows: a customer comes to it once in minutes, and what it was told of the store then says nothing of what the
-others let in since. So where under half of the asked ones get in (`granted`), fewer of the others go too.
+others let in since. So where few of the asked ones get in (`granted`), fewer of the others go too: as few,
+where one beyond its quota costs as much as one within brings; else all, from half of the asked ones on.
 
 A late answer is no silence: it is waited for five times longer than what counts as late. Where none comes
 then, the counter is taken for silent, and asked again after a pause that doubles, so that one that comes back
@@ -25,7 +26,7 @@
 CUT, APART_MS = 0.6, 300.0  # of the part where no answer comes; between two such cuts
 FORGET = 0.02  # of the quickest answer, with each that is slower
 PAUSE_MS = 50.0, 1000.0  # the first and the longest
-PLENTY = 0.5  # of the asked: where so many are granted, all others go too
+PLENTY = 0.5  # of the asked: where so many are granted at least, all others go too
 SAMPLE = 2.0  # tries that one which is asked for may stand for beside itself
 GRANTED = 0.2  # of the newest answer in the running average of what was granted
 
@@ -48,20 +49,19 @@
         """Whether no answer has come for so long that none is to be waited for."""
         return self.pause >= PAUSE_MS[1]
 
-    @property
-    def beside(self) -> float:
+    def beside(self, over_cost: float) -> float:
         """How many that are not asked for get in for each that is, as one of them may stand for."""
-        return min(SAMPLE, (1 / self.part - 1) * self.passing)
+        return min(SAMPLE, (1 / self.part - 1) * self.passing(over_cost))
 
     def answered(self, empty: bool, asked: bool) -> bool:
         """Whether the store was found empty, and by a call that `asked` for units."""
         self.granted += GRANTED * ((not empty) - self.granted) * asked
         return empty
 
-    @property
-    def passing(self) -> float:
-        """The part of the tries that are not asked for which go all the same."""
-        return min(1.0, self.granted / PLENTY)
+    def passing(self, over_cost: float) -> float:
+        """The part of the tries that are not asked for which go all the same; `over_cost`: the part of its
+        worth that one beyond its quota costs."""
+        return min(1.0, self.granted / min(1.0, max(PLENTY, over_cost)))
 
     def heard(self, now: float, elapsed_ms: float) -> None:
         """An answer has come, after so long."""
--- a/scalelb/routing/control.py
+++ b/scalelb/routing/control.py
@@ -171,14 +171,14 @@
     def _chance(self, request: Request, repeat: bool) -> bool:
         """Whether the counter is asked.  A request on a shared store waits for its word; a crowded counter is
         asked for some of them, as much more for each, and of the others as many go as of those get in."""
-        c = request.customer
+        c, cost = request.customer, request.customer.plan.over_cost
         if not c.shared or c.balance >= request.units or self._counted(request):
             return True
         drawn, request.barred = self.random.random() < self.crowd.part, not self.backoff
         known = c.broke or c.reach(self._latest(request)) < request.units  # to be empty
-        if not (drawn or self.backoff or known) and self.random.random() < self.crowd.passing:
+        if not (drawn or self.backoff or known) and self.random.random() < self.crowd.passing(cost):
             c.balance = request.units
-        c.unreported += request.units * self.crowd.beside * (drawn and not (c.broke or c.calling))
+        c.unreported += request.units * self.crowd.beside(cost) * (drawn and not (c.broke or c.calling))
         return drawn
 
     def _lacks(self, request: Request) -> float:
