--- a/scalelb/program/__main__.py
+++ b/scalelb/program/__main__.py
@@ -361,7 +361,7 @@
     def finish(self) -> None:
         """Take nothing new; end once all is answered."""
         self.finishing = True
-        self.door.shut()
+        self.door.shut(shared=self.config.inherited is not None)
         if self.grpc is not None:
             longest = max(kind.deadline_ms for kind in self.config.settings.classes)
             self.task(self.grpc.stop(longest / 1000))
--- a/scalelb/transport/session.py
+++ b/scalelb/transport/session.py
@@ -456,10 +456,12 @@
         self.held += len(call.raw)
         return ticket
 
-    def shut(self) -> None:
-        """Take nobody new but those who wait already, and close every session once it owes nothing."""
+    def shut(self, shared: bool = False) -> None:
+        """Take nobody new but those who wait already, and close every session once it owes nothing.  Who waits
+        at a `shared` socket is left to the other life that holds it: it has this one's account."""
         if self.port is not None:
-            self.accept_waiting()
+            if not shared:
+                self.accept_waiting()
             self.port.stopListening()
         self.closing = True
         self.shut_on()
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -14,6 +14,7 @@
 from standin import SAFE, SITE
 
 from scalelb.routing import interface as io
+from scalelb.transport.session import SPARE
 
 # What happens while the fetch of a request that may wait so long (ms) waits for its connection.
 WHILE_DIALLING = {
@@ -128,3 +129,17 @@
     stage.wait(1000)
     program.take_over()
     assert program.door.port is None
+
+
+@pytest.mark.parametrize("shared", [False, True])
+def test_who_waits_at_a_socket_of_two_lives_is_left_to_the_other(shared: bool) -> None:
+    # The old life has handed its account over: what it took at its end it would have to refuse.
+    stage = Stage()
+    door = stage.door
+    door.port = Mock()
+    door.port.doRead = lambda: door.buildProtocol(None) and stage.net.join("client", door)
+    came = len(door.sessions)
+    door.sessions_most = 20 - SPARE + came
+    door.shut(shared)
+    assert (len(door.sessions) > came) is not shared
+    door.port.stopListening.assert_called_once()
