--- a/scalelb/overload/crowd.py
+++ b/scalelb/overload/crowd.py
@@ -53,10 +53,9 @@
         """How many that are not asked for get in for each that is, as one of them may stand for."""
         return min(SAMPLE, (1 / self.part - 1) * self.passing(over_cost))
 
-    def answered(self, empty: bool, asked: bool) -> bool:
-        """Whether the store was found empty, and by a call that `asked` for units."""
-        self.granted += GRANTED * ((not empty) - self.granted) * asked
-        return empty
+    def answered(self, granted: bool, asked: bool) -> None:
+        """Whether the store had the units, and whether the call `asked` for any."""
+        self.granted += GRANTED * (granted - self.granted) * asked
 
     def passing(self, over_cost: float) -> float:
         """The part of the tries that are not asked for which go all the same; `over_cost`: the part of its
--- a/scalelb/program/__main__.py
+++ b/scalelb/program/__main__.py
@@ -91,7 +91,6 @@
         pace = Pace(config.settings.gateways, Random(f"director {config.seed}"), asked)
         self.director = DirectorWatch(reactor, config.director, config.generation, self.told, log, pace)
         self.heard = False  # the director's word
-        self.finishing = False  # nobody new is let in any more
         self.cpu = 0.0
         self.tasks: set[Any] = set()
         self.status_code = 0
@@ -141,7 +140,7 @@
         its account is looked for, as it may leave one and end in between."""
         before = self.succession
         assert before is not None
-        if self.finishing:
+        if self.door.closing:
             return
         lives = before.alive(before.before)
         account = before.left()
@@ -360,7 +359,6 @@
 
     def finish(self) -> None:
         """Take nothing new; end once all is answered."""
-        self.finishing = True
         self.door.shut(shared=self.config.inherited is not None)
         if self.grpc is not None:
             longest = max(kind.deadline_ms for kind in self.config.settings.classes)
--- a/scalelb/routing/control.py
+++ b/scalelb/routing/control.py
@@ -47,7 +47,8 @@
         super().__init__(records=Records(random.Random(f"records {seed}").randbytes(16)))
         self.settings, self.aim = settings, min(kind.aim_ms for kind in settings.classes)
         self.usual, self.mean = 0.1 * self.aim, ledger.mean_units(settings)  # latency, units
-        self.random, self.retries, self.flight.limiters = random.Random(seed), 1.0, settings.gateways
+        self.random, self.retries = random.Random(seed), 1.0  # further attempts kept
+        self.flight.limiters = settings.gateways
         self.worth, self.open, self.crowd = settings.classes[0].worth, 1.0, Crowd(settings.counter_timeout_ms)
         self.deciders: dict[type, Callable[[float, Any], None]] = {
             io.RequestArrived: self._arrive, io.AttemptEnded: self._ended, io.CounterReplied: self._replied,
@@ -170,7 +171,7 @@
 
     def _chance(self, request: Request, repeat: bool) -> bool:
         """Whether the counter is asked.  A request on a shared store waits for its word; a crowded counter is
-        asked for some of them, as much more for each, and of the others as many go as of those get in."""
+        asked for some of them, as much more for each, and fewer others go where few of them get in."""
         c, cost = request.customer, request.customer.plan.over_cost
         if not c.shared or c.balance >= request.units or self._counted(request):
             return True
@@ -253,9 +254,7 @@
             self.unvisited = list(self.customers.values())
         some, self.unvisited = self.unvisited[:VISITS], self.unvisited[VISITS:]  # guards the others' turn
         self.records.sweep(now, 16 * VISITS)
-        for c in some:
-            if self.customers.get(c.name) is not c:
-                continue
+        for c in (c for c in some if self.customers.get(c.name) is c):
             if c.lent:
                 self._credit(c, now)
             idle = now - c.seen
@@ -506,7 +505,8 @@
             filled, amount = ledger.fill(c, now, total), c.asked
         c.store, c.store_at, c.total = min(kept, filled) - amount, now, total
         # Kept: what rate times window plus burst covers, or will cover in time; the rest goes back.
-        c.broke, asked = self.crowd.answered(c.store < 0, c.asked > 0), max(0.0, c.asked)
+        c.broke, asked = c.store < 0, max(0.0, c.asked)
+        self.crowd.answered(not c.broke, asked > 0)
         short = min(asked, max(0.0, -c.store))
         back = min(short, max(0.0, -c.store - c.plan.rate * HOLD * self.aim / 1000))
         c.balance += asked - short
--- a/scalelb/transport/counter.py
+++ b/scalelb/transport/counter.py
@@ -107,7 +107,7 @@
         log: Log,
     ) -> None:
         self.reactor, self.clock, self.address, self.log = reactor, clock, address, log
-        self.host, self.port = host_port(address)
+        self.at = host_port(address)
         self.timeout_ms, self.counted = timeout_ms, counted
         self.idle: list[CounterConnection] = []
         self.open: set[CounterConnection] = set()
@@ -135,14 +135,14 @@
         connection = CounterConnection(self, add)
         self.open.add(connection)
         self.out[add] = connection
-        dial(self.reactor, (self.host, self.port), connection, connection.lost, 2 * LATE_MS)
+        dial(self.reactor, self.at, connection, connection.lost, 2 * LATE_MS)
 
     def move(self, address: str) -> None:
         """The counter has moved.  Calls that are written end where they are, as they may have been added;
         those that wait for their connection begin anew at the new address, as the old one may refuse them."""
         if address == self.address:
             return
-        self.address, (self.host, self.port) = address, host_port(address)
+        self.address, self.at = address, host_port(address)
         idle, self.idle = self.idle, []
         for connection in idle:
             connection.close()
--- a/scalelb/transport/director.py
+++ b/scalelb/transport/director.py
@@ -65,7 +65,7 @@
         pace: Pace,
     ) -> None:
         self.reactor, self.address, self.listed, self.log = reactor, address, listed, log
-        self.host, self.port = host_port(address)
+        self.at = host_port(address)
         self.generation = generation  # of the list that is known; nothing: the whole list is asked for
         self.connection: DirectorConnection | None = None
         self.silent: Delay | None = None
@@ -85,7 +85,7 @@
         if self.stopped:
             return
         self.connection = connection = DirectorConnection(self)
-        dial(self.reactor, (self.host, self.port), connection, lambda: self.again(connection), DIAL_MS)
+        dial(self.reactor, self.at, connection, lambda: self.again(connection), DIAL_MS)
 
     def ask(self, connection: DirectorConnection) -> None:
         """Send the next call of the watch."""
@@ -147,7 +147,7 @@
     def move(self, address: str) -> None:
         """Watch at another address from now on.  Its versions may be others: the whole list is asked for, and
         until it comes the old one serves."""
-        self.address, (self.host, self.port) = address, host_port(address)
+        self.address, self.at = address, host_port(address)
         self.generation = None
         self.pace.answered()
         self._heard()
--- a/scalelb/transport/fetch.py
+++ b/scalelb/transport/fetch.py
@@ -194,7 +194,7 @@
 
     def __init__(self, pool: Pool, name: str, address: str) -> None:
         self.pool, self.name, self.address = pool, name, address
-        self.host, self.port = host_port(address)
+        self.at = host_port(address)
         self.idle: list[BackendConnection] = []  # the one used last is used first; the others age
         self.open: set[BackendConnection] = set()
         self.opening = 0
@@ -231,8 +231,8 @@
         self.open.add(connection)
         self.opening += 1
         self.pool.total += 1
-        at, most = (self.host, self.port), self.pool.limits.connect_ms
-        dial(self.pool.reactor, at, connection, lambda: self.refused(connection), most)
+        most = self.pool.limits.connect_ms
+        dial(self.pool.reactor, self.at, connection, lambda: self.refused(connection), most)
 
     def refused(self, connection: BackendConnection) -> None:
         """It never came up."""
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -29,8 +29,9 @@
         return node == self.test or node.startswith(self.test + "[")
 
 
-def read(text: str) -> list[Known]:
+def read() -> list[Known]:
     """The lines of the file; a fault of it is a usage error."""
+    text = LIST.read_text() if LIST.exists() else ""
     lines = [line.strip() for line in text.splitlines() if line.strip()]
     if len(lines) > MOST:
         raise pytest.UsageError(f"KNOWN-RED.txt: {len(lines)} lines, {MOST} at most")
@@ -51,7 +52,7 @@
 
 
 def pytest_collection_modifyitems(config: pytest.Config, items: list[pytest.Item]) -> None:
-    known = read(LIST.read_text() if LIST.exists() else "")
+    known = read()
     if config.args_source is not pytest.Config.ArgsSource.ARGS:  # else only a part was collected
         check(known, [item.nodeid for item in items])
     for item in items:
@@ -61,5 +62,5 @@
 
 
 def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
-    for line in read(LIST.read_text() if LIST.exists() else ""):
+    for line in read():
         terminalreporter.write_line(f"known red: {line.test}: {line.cause} ({line.issue})", yellow=True)
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -62,8 +62,7 @@
     def dialled(self) -> None:
         """Wait until a connection to it is under way: its first packet is out, and nobody answers."""
         for _ in eventually():
-            lines = Path("/proc/net/tcp").read_text().splitlines()[1:]
-            if any(f[2].endswith(f":{self.port:04X}") and f[3] == "02" for f in map(str.split, lines)):
+            if "02" in states(self.port, theirs=True):
                 return
 
     def accept(self) -> socket.socket:
@@ -77,6 +76,13 @@
         return connection
 
 
+def states(port: int, theirs: bool = False) -> list[str]:
+    """What the kernel says of all connections at a port of ours, or of `theirs`: 01 open, 02 under way, 08
+    ended by the peer."""
+    lines = map(str.split, Path("/proc/net/tcp").read_text().splitlines()[1:])
+    return [fields[3] for fields in lines if fields[1 + theirs].endswith(f":{port:04X}")]
+
+
 def eventually() -> Iterator[None]:
     """Look again and again for what must come; nothing is judged by how soon."""
     end = time.monotonic() + PATIENCE
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -17,7 +17,7 @@
 from typing import Any
 
 import pytest
-from processes import PATIENCE, SETTINGS, Limiter, Peer, eventually, rest, until, wire
+from processes import PATIENCE, SETTINGS, Limiter, Peer, eventually, rest, states, until, wire
 from scenario import SERVED, call
 
 Run = Callable[..., Limiter]
@@ -88,7 +88,7 @@
 def left(limiter: Limiter, but: int = 0) -> None:
     """Wait until the limiter has closed its side too, to all `but` so many: it has seen who left."""
     for _ in eventually():
-        if sum(state in ("01", "08") for state in states(limiter)) == but:
+        if sum(state in ("01", "08") for state in states(limiter.started["port"])) == but:
             return
 
 
@@ -129,7 +129,7 @@
     out = serve(backend, at_backend, answer=False).count(b"CALL.GET")
     client.close()
     for _ in eventually():
-        if "08" in states(limiter):  # its kernel has the client's end, and nobody has read that far
+        if "08" in states(limiter.started["port"]):  # the client's end is there; nobody has read that far
             break
     first.sendall(wire(SERVED))  # frees a place: the next that waits would be sent
     left(limiter, but=1)
@@ -143,13 +143,6 @@
     assert came.count(b"CALL.GET") == 1
 
 
-def states(limiter: Limiter) -> list[str]:
-    """What the kernel says of its connections with clients: 01 open, 08 ended by the client."""
-    port = f":{limiter.started['port']:04X}"
-    lines = map(str.split, Path("/proc/net/tcp").read_text().splitlines()[1:])
-    return [f[3] for f in lines if f[1].endswith(port)]
-
-
 def serve(backend: Peer, accepted: list[socket.socket], answer: bool) -> bytes:
     """Accept and read what is there."""
     backend.server.setblocking(False)
