Force what is half there at the end, owed in order, or breaks as its client leaves

Need: of the issue's list SIGTERM with half a head, with an answer half out and with answers owed in a pipeline, and a client that leaves between two attempts had no test on real sockets; the processor time of a request, which it names, was not measured.

Change: three tests (four cases) in tests/test_crossings.py; no code. They pass on the code as found too: these suspicions are ruled out. Shown to fail: sessions ended with what they owe (2 fail), `Core.gone` that does nothing (2 fail).

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable, Iterator
 from contextlib import suppress
 from pathlib import Path
+from select import select
 from typing import Any
 
 import pytest
@@ -224,6 +225,80 @@
     assert limiter.process.wait(PATIENCE) == 0
 
 
+def test_what_is_half_there_at_the_end_is_finished(run: Run) -> None:
+    # A head of which half has come, a long value of which half is out, and answers owed in another order.
+    director, backend = Peer(), Peer()
+    limiter = run(director, entry(backend))
+    limiter.until("ready")
+    long = b"*3\r\n$200000\r\n" + b"v" * 200_000 + b"\r\n$-1\r\n$-1\r\n"
+    streaming = ask(limiter, 1)
+    at_first = backend.accept()
+    until(at_first, b"first=0\r\n")
+    at_first.sendall(long[:100_000])
+    came = until(streaming, b"v" * 1000)
+    half, text = limiter.client(), wire(call(2, wait=LONG))
+    half.sendall(text[:40])
+    limiter.process.send_signal(signal.SIGTERM)
+    limiter.until("stopping")
+    closed(limiter)
+    half.sendall(text[40:])
+    at_second = backend.accept()
+    assert ident(2) in until(at_second, b"first=0\r\n")
+    at_second.sendall(wire(SERVED))
+    assert rest(half) == b"$2\r\nok\r\n"
+    at_first.sendall(long[100_000:])
+    assert came + rest(streaming) == b"$200000\r\n" + b"v" * 200_000 + b"\r\n"
+    half.close()
+    streaming.close()
+    assert limiter.process.wait(PATIENCE) == 0
+
+
+def test_answers_owed_in_order_at_the_end_come_in_order(run: Run) -> None:
+    director, backend = Peer(), Peer()
+    limiter = run(director, entry(backend))
+    limiter.until("ready")
+    client = limiter.client()
+    client.sendall(wire(call(1, wait=LONG) + call(2, wait=LONG)))
+    both = [backend.accept(), backend.accept()]
+    asked = {ident(1) in until(at, b"first=0\r\n"): at for at in both}  # whether it is the first
+    limiter.process.send_signal(signal.SIGTERM)
+    limiter.until("stopping")
+    closed(limiter)
+    asked[False].sendall(wire("*3\n$3\ntwo\n$-1\n$-1\n"))
+    asked[True].sendall(wire("*3\n$3\none\n$-1\n$-1\n"))
+    assert rest(client) == b"$3\r\none\r\n$3\r\ntwo\r\n"
+    client.close()
+    assert limiter.process.wait(PATIENCE) == 0
+
+
+@pytest.mark.parametrize("first", ["client", "backend"])
+def test_a_client_that_leaves_as_its_attempt_breaks_has_no_further_one(run: Run, first: str) -> None:
+    director, backend, other = Peer(), Peer(), Peer()
+    limiter = run(director, entry(backend), entry(other, "s1"))
+    limiter.until("ready")
+    client, staying = ask(limiter, 1), limiter.client()
+    served = [backend, other]
+    at_one = next_of(served)
+    until(at_one, b"first=0\r\n")
+    limiter.process.send_signal(signal.SIGSTOP)
+    for end in (client, at_one) if first == "client" else (at_one, client):
+        end.close()  # both are there in the next round, in this order
+    limiter.process.send_signal(signal.SIGCONT)
+    left(limiter, but=1)
+    staying.sendall(wire(call(2, wait=LONG)))
+    at_two = next_of(served)
+    assert ident(2) in until(at_two, b"first=0\r\n")  # the first that comes after it
+    at_two.sendall(wire(SERVED))
+    assert until(staying, b"ok\r\n")
+    staying.close()
+
+
+def next_of(peers: list[Peer]) -> socket.socket:
+    """The next connection to any of them."""
+    ready, _, _ = select([peer.server for peer in peers], [], [], PATIENCE)
+    return next(peer.accept() for peer in peers if peer.server in ready)
+
+
 def test_sigterm_while_the_director_can_not_be_reached_ends_the_program(run: Run) -> None:
     director, backend = Peer(held=True), Peer()
     limiter = run(director, entry(backend))
