--- a/scalelb/fairness/limit.py
+++ b/scalelb/fairness/limit.py
@@ -36,9 +36,7 @@
         self.count = self.failed = 0
         self.stretches = self.latencies = self.out_most = 0.0
 
-    def ended(
-        self, now: float, server: str, latency_ms: float, load: float, out: float, good: bool
-    ) -> None:
+    def ended(self, now: float, server: str, latency_ms: float, load: float, out: float, good: bool) -> None:
         """One answer.  `latency_ms` is scaled to a mean request; `load` is what the server had of us beside
         it when it was sent, in mean requests; `out` the requests out now."""
         if good and load <= AT_EASE:
--- a/scalelb/lab/keyed.py
+++ b/scalelb/lab/keyed.py
@@ -183,7 +183,8 @@
         "all three": Case(splits=True, lost_zones=True),
     }  # fmt: skip
     ways: dict[str, dict[str, Any]] = {
-        "neither": {"linked": False, "keys": False}, "homes": {"linked": False, "keys": True},
+        "neither": {"linked": False, "keys": False},
+        "homes": {"linked": False, "keys": True},
         "links": {"linked": True, "keys": True},
     }
     for name, case in cases.items():
--- a/scalelb/lab/load.py
+++ b/scalelb/lab/load.py
@@ -167,9 +167,7 @@
         while self.place < len(self.arrivals) and self.arrivals[self.place].at_ms <= now:
             a = self.arrivals[self.place]
             self.place += 1
-            self._ask(
-                Row(self.variant, a.group, a.customer, a.limiter, a.kind, a.plan, a.units, 0, a.at_ms)
-            )
+            self._ask(Row(self.variant, a.group, a.customer, a.limiter, a.kind, a.plan, a.units, 0, a.at_ms))
         if self.place < len(self.arrivals):
             wait = max(0.0, self.arrivals[self.place].at_ms - self.now())
             self.reactor.callLater(wait / 1000.0, self._next)
--- a/scalelb/lab/report.py
+++ b/scalelb/lab/report.py
@@ -164,8 +164,6 @@
     loader = PackageLoader("scalelb.lab", ".")
     page = Environment(loader=loader, autoescape=select_autoescape(["j2"])).get_template("report.html.j2")
     path = out / "report.html"
-    words = page.render(
-        result=result, heads=HEADS, lines=[cells(line) for line in lines], charts=charts
-    )
+    words = page.render(result=result, heads=HEADS, lines=[cells(line) for line in lines], charts=charts)
     path.write_text(words)
     return path
--- a/scalelb/lab/search.py
+++ b/scalelb/lab/search.py
@@ -145,7 +145,6 @@
                 return f"version {version} is {value!r} and {self.values[version]!r}"
         return ""
 
-
     def mark(self) -> int:
         """Tells states apart."""
         voters = [
--- a/scalelb/lab/standins.py
+++ b/scalelb/lab/standins.py
@@ -153,7 +153,6 @@
             else:
                 self._begin(waiting)
 
-
     def _leave(self, job: Job) -> None:
         if self.inside.get(job.ident) is job:
             del self.inside[job.ident]
--- a/scalelb/lab/virtual.py
+++ b/scalelb/lab/virtual.py
@@ -226,4 +226,3 @@
     found = Virtual(schedule, seed, limiters or schedule.limiters).play()
     empty = [f"{name}: nothing to check" for name, (count, _) in found.items() if not count]
     return empty + [f"{name}: {words}" for name, (_, some) in found.items() for words in some]
-
--- a/scalelb/peers/mesh.py
+++ b/scalelb/peers/mesh.py
@@ -511,4 +511,3 @@
     if isinstance(value, list):
         return 2 + sum(map(_size, value))
     raise MalformedMessageError("a value of no kind")
-
--- a/scalelb/routing/control.py
+++ b/scalelb/routing/control.py
@@ -21,7 +21,7 @@
 
 TURN, TURN_MS, HOUSE, HOUSE_MS = 1, 10.0, 2, 1000.0  # timers: scheduling cycle, as in the paper; ageing
 COST_WEIGHT, FLEET_WEIGHT = 0.1, 0.05  # of the newest answer in running averages
-AHEAD_S, AHEAD, DEMAND_S = 1.0, 3.0, 2.0  # a block covers so much demand, or requests; memory of the demand
+AHEAD_S, AHEAD = 1.0, 3.0  # a block covers so much demand, or requests
 OWED = 1.0  # units of a shared store that are told at once
 HOLD, EASE, SPARE_WAIT = 0.5, 0.15, 0.1  # of the aim: longest wait for credit; latency at ease; soft wait
 NEED, NEED_MOST = 1.5, 0.6  # usual latencies, parts of the aim, that must be left when a request is sent
@@ -29,8 +29,7 @@
 ASK_MS = 100.0  # between two calls for a customer that found the store empty
 IDLE_MS, FORGET_MS = 3000.0, 20_000.0  # the idle hand back, are forgotten
 PATIENCE = (0.5, 4.0)  # a repeatable attempt is given up after this part of the aim, or these usual latencies
-START_LIMIT, LEAST_LIMIT = 2.0, 0.2  # mean requests out at a server: before its answers tell more; and ever
-GROW_BELOW, CUT_ABOVE, CUT = 0.2, 0.3, 0.7  # parts of the aim between which a limit stays; the cut
+START_LIMIT = 2.0  # mean requests out at a server, before its answers tell more
 LATE, SHUT, OPEN, REOPEN, LEAST = 0.5, 0.85, 0.05, 1.05, 0.005  # of the aim: late; steps of the door
 CHOICES, FAR, JITTER = 8, 1.02, 0.1  # servers drawn; another zone looks slower; chance
 WIDEN = 0.5  # one that fails so often is taken only where all servers were drawn from
@@ -51,8 +50,13 @@
         self.flight.limiters = settings.gateways
         self.worth, self.open, self.crowd = settings.classes[0].worth, 1.0, Crowd(settings.counter_timeout_ms)
         self.deciders: dict[type, Callable[[float, Any], None]] = {
-            io.RequestArrived: self._arrive, io.AttemptEnded: self._ended, io.CounterReplied: self._replied,
-            io.RequestGone: self._gone, io.ServersListed: self._listed, io.TimerFired: self._turn}
+            io.RequestArrived: self._arrive,
+            io.AttemptEnded: self._ended,
+            io.CounterReplied: self._replied,
+            io.RequestGone: self._gone,
+            io.ServersListed: self._listed,
+            io.TimerFired: self._turn,
+        }
 
     def handle(self, now: float, event: io.Event) -> list[io.Action]:
         """Take one event; return the actions that it calls for."""
@@ -82,8 +86,7 @@
         request.door, request.key, request.admission = 1 << e.door, e.key, e.admission
         request.ran, request.ran_at, request.ran_on = e.ran_on is not None, e.ran_at, e.ran_on
         repeat = e.retry or e.expires_in_ms + e.held_ms < kind.aim_ms
-        fresh = 0.0 if repeat else units / DEMAND_S  # guards the blocks against clients that repeat
-        c.demand, c.seen = c.demand * exp((c.seen - now) / (1000 * DEMAND_S)) + fresh, now
+        c.note_demand(now, 0.0 if repeat else units)  # guards the blocks against clients that repeat
         self._credit(c, now)
         self.worth += FLEET_WEIGHT * (kind.worth - self.worth)
         # Guards a fleet that no single gateway's limits relieve; what is worth more gives way less.
@@ -418,10 +421,7 @@
             self.flight.heard(late, len(self.attempts), self.gap)
         self.usual += good * FLEET_WEIGHT * (latency - self.usual)
         self.full_at = now if e.outcome is io.Outcome.FULL else self.full_at
-        if good and e.elapsed_ms < GROW_BELOW * aim:
-            s.limit += 1 / max(1.0, s.limit) if s.load + 1 > s.limit / 2 else 0.0
-        elif (not good or e.elapsed_ms > CUT_ABOVE * aim) and now - s.cut > aim / 4:
-            s.limit, s.cut = max(LEAST_LIMIT, s.limit * CUT), now
+        health.adapt_limit(s, now, good, e.elapsed_ms, aim)
 
     def _end(self, request: Request) -> None:
         """Final answer: refused where a further try is provably harmless, else failed."""
--- a/scalelb/routing/handover.py
+++ b/scalelb/routing/handover.py
@@ -142,4 +142,3 @@
     if isinstance(value, bool) or not isinstance(value, int | float):
         return False
     return isfinite(value) and least <= value <= most
-
--- a/scalelb/routing/health.py
+++ b/scalelb/routing/health.py
@@ -18,6 +18,11 @@
 FAIL_COST, DOWN_COST = 8.0, 1000.0  # a server that always fails, or can't be reached, looks so much slower
 KEPT = (io.Outcome.OK, io.Outcome.ERROR, io.Outcome.FULL)  # outcomes that leave the connection open
 DOWN_MS = 500.0, 8000.0  # that one which can't be reached is left out: at first, doubled each time, at most
+LEAST_LIMIT = 0.2  # mean requests out at a server, at least
+GROW_BELOW = 0.2  # of the aim: a good answer within it lets the concurrency limit grow
+CUT_ABOVE = 0.3  # of the aim: a slower answer cuts the limit
+LIMIT_CUT = 0.7  # factor of one cut
+CUT_APART = 0.25  # of the aim: the least time between two cuts
 
 
 def memory(gap_ms: float, servers: int) -> float:
@@ -61,6 +66,16 @@
     return slow * (DOWN_COST if now < s.down else 1.0)
 
 
+def adapt_limit(s: Server, now: float, good: bool, elapsed_ms: float, aim_ms: float) -> None:
+    """Adapt the concurrency limit of a server (mean requests) to one answer: additive increase while quick
+    answers use at least half of it, multiplicative decrease after a failure or a slow answer."""
+    if good and elapsed_ms < GROW_BELOW * aim_ms:
+        if s.load + 1 > s.limit / 2:
+            s.limit += 1 / max(1.0, s.limit)
+    elif (not good or elapsed_ms > CUT_ABOVE * aim_ms) and now - s.cut > CUT_APART * aim_ms:
+        s.limit, s.cut = max(LEAST_LIMIT, s.limit * LIMIT_CUT), now
+
+
 def renew(s: Server, usual: float, limit: float) -> None:
     """It has started anew: nothing of it is known."""
     s.latency, s.failing, s.limit, s.heard, s.misses, s.down, s.ready = usual, 0.0, limit, 0.0, 0, 0.0, 0
--- a/scalelb/routing/state.py
+++ b/scalelb/routing/state.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from math import inf
+from math import exp, inf
 
 from scalelb.fairness.records import Record, Records
 from scalelb.overload.crowd import Crowd
@@ -12,6 +12,7 @@
 from scalelb.routing.keys import Keys
 
 MARGIN, MARGIN_MOST = 1.0, 0.5  # requests that a door keeps unlent; at most this part of the burst
+DEMAND_MEMORY_S = 2.0  # time constant of the decaying demand rate
 
 
 @dataclass(slots=True, eq=False)
@@ -96,6 +97,12 @@
         filled = min(plan.ceiling_burst, plan.ceiling_slack + plan.ceiling_rate * ran_ms / 1000)
         return cls(e.customer, plan, doors, at_once, filled / doors, now, estimate)
 
+    def note_demand(self, now: float, units: float) -> None:
+        """Add units to the exponentially decaying demand rate (units/s); a request was seen now (ms)."""
+        fade = exp((self.seen - now) / (1000 * DEMAND_MEMORY_S))
+        self.demand = self.demand * fade + units / DEMAND_MEMORY_S
+        self.seen = now
+
     def turn(self, window: int, began: float) -> None:
         """The count's window.  A new one began at nothing, with what the store held by the last word."""
         if window == self.window:
--- a/scalelb/transport/fetch.py
+++ b/scalelb/transport/fetch.py
@@ -172,9 +172,7 @@
             fetch.end(io.Outcome.RESET if sent else io.Outcome.CONNECT_FAILED)
 
 
-def read_outcome(
-    reply: resp.Reply, probe: bool
-) -> tuple[io.Outcome, memoryview | None, Mapping[str, float]]:
+def read_outcome(reply: resp.Reply, probe: bool) -> tuple[io.Outcome, memoryview | None, Mapping[str, float]]:
     """A backend's reply as an outcome.  Only a probe is answered with a bulk string or a status line."""
     if not reply.line:
         report = resp.read_report(reply.report) if reply.report else NO_REPORT
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -1,16 +1,16 @@
 """The scenario language of the network tests: a line a step, `WHO VERB WHAT`, on sockets in memory.
 
-    client  send PING            bytes from a peer; `\\n` in WHAT is a line end, {...} a Python expression
-    backend expect CALL.GET      what has come to a peer since its last `expect` holds this
-    backend silent               nothing has come since
-    client  close                the peer ends its connection
-    client  closed               the limiter has ended it
-    backend paused               the limiter reads no further of it
-    client  rude                 the peer will not follow when the limiter ends its side
-    wait 30                      so many milliseconds pass
-    refuse backend               connections to it are refused; `accept backend`: they come up
-    hold backend                 connections to it stay under way; `release backend`: they come up now
-    client2 ...                  a number after the name: the peer's further connections
+client  send PING            bytes from a peer; `\\n` in WHAT is a line end, {...} a Python expression
+backend expect CALL.GET      what has come to a peer since its last `expect` holds this
+backend silent               nothing has come since
+client  close                the peer ends its connection
+client  closed               the limiter has ended it
+backend paused               the limiter reads no further of it
+client  rude                 the peer will not follow when the limiter ends its side
+wait 30                      so many milliseconds pass
+refuse backend               connections to it are refused; `accept backend`: they come up
+hold backend                 connections to it stay under way; `release backend`: they come up now
+client2 ...                  a number after the name: the peer's further connections
 """
 
 from __future__ import annotations
--- a/tests/test_anybody.py
+++ b/tests/test_anybody.py
@@ -146,5 +146,3 @@
     node[last] = BAD[key]
     with pytest.raises(ConfigError, match=key.replace("[", r"\[").replace("]", r"\]")):
         read_settings(site)
-
-
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -105,8 +105,6 @@
     stage.play(f"{used} expect CALL.POST\n {used} close\n client expect -ERR failed")
 
 
-
-
 def test_a_stop_while_the_director_is_dialled_ends_the_program() -> None:
     # The last step of the stop called a connection that was not there yet: it raised, and the process stayed.
     stage = Stage()
