Take the middle of the possible ages of a retry that has its whole patience left

Change: its age counts as half of that range instead of nothing (`UNKNOWN_AGE`; trials with none and all of it).

--- a/scalelb/routing/retry_age.py
+++ b/scalelb/routing/retry_age.py
@@ -3,8 +3,9 @@
 A client waits for a class's deadline in all, over every attempt that it makes, and for a part of it (its
 patience) on each. A first attempt therefore arrives with its patience left, a retry with the lesser of its
 patience and what the earlier attempts have left of the deadline. Where less than the patience is left, the
-difference to the deadline is the time since the first attempt. Where the whole patience is left, that time is
-not known and counts as none. All times are in milliseconds.
+difference to the deadline is the time since the first attempt. Where the whole patience is left, that time
+lies between nothing and the part of the deadline that the patience leaves; its middle is taken. All times are
+in milliseconds.
 """
 
 from __future__ import annotations
@@ -12,6 +13,7 @@
 from scalelb.routing import interface as io
 
 TOLERANCE_MS = 5.0  # time left differs by so much between first attempts, for their way to the limiter
+UNKNOWN_AGE = 0.5  # of the longest that a retry with the whole patience left may be old
 
 
 class RetryAge:
@@ -21,13 +23,15 @@
         self._patience: dict[int, float] = {}  # by the class's number
 
     def of(self, arrived: io.RequestArrived, kind: io.RequestClass) -> float:
-        """The time since the client's first attempt, as far as it is certain; 0 for a first attempt, and
-        where a late answer keeps a part of its worth, so that its age decides nothing."""
+        """The time expected since the client's first attempt; 0 for a first attempt, before any of its class
+        was seen, and where a late answer keeps a part of its worth, so that its age decides nothing."""
         left = arrived.expires_in_ms + arrived.held_ms
         patience = self._patience.get(arrived.request_class, 0.0)
         if not arrived.retry:
             self._patience[arrived.request_class] = max(patience, min(left, kind.deadline_ms))
             return 0.0
-        if kind.late_value > 0 or left >= patience - TOLERANCE_MS:
+        if kind.late_value > 0 or not patience:
             return 0.0
+        if left >= patience - TOLERANCE_MS:
+            return UNKNOWN_AGE * (kind.deadline_ms - patience)
         return max(0.0, kind.deadline_ms - left)
