Rename five lab modules to the field's terms; behaviour unchanged

Need: `lab/crowded`, `keyed`, `copying`, `trials` and `search` are words of the earlier house style.

Measured: lint, formatter, types clean; tests of overload, layers, README, lab, tries and agreement: 174 passed; all five modules import; `python -m scalelb.lab.model_check 300` ends with nothing wrong.

--- a/scalelb/lab/crowded.py
+++ b/scalelb/lab/counter_contention.py
@@ -1,8 +1,8 @@
 """Many limiters on a counter that bears less than they would ask of it, in virtual time.
 
 Customers come through 30 of 200 limiters each, some inside their quotas, some far beyond; the counter serves
-a stated number of calls for each request, in one line. `python -m scalelb.lab.crowded` prints the table of
-`docs/overload.md`.
+a stated number of calls for each request, in one line. `python -m scalelb.lab.counter_contention` prints the
+table of `docs/overload.md`.
 """
 
 from __future__ import annotations
--- a/scalelb/lab/keyed.py
+++ b/scalelb/lab/idempotency.py
@@ -1,7 +1,7 @@
 """Keyed requests whose repeats only a zone drops, through kills, splits and lost zones, in virtual time.
 
 Clients whose limiter died come again with the same key through another one. What ran in two zones ran twice.
-`python -m scalelb.lab.keyed` prints the table of `docs/replication.md`.
+`python -m scalelb.lab.idempotency` prints the table of `docs/replication.md`.
 """
 
 from __future__ import annotations
--- a/scalelb/lab/search.py
+++ b/scalelb/lab/model_check.py
@@ -4,7 +4,7 @@
 steps. From each state every word may come next, or never; a voter may crash, with its store or without; time
 may go on. States that were seen are not gone into twice. What must hold is looked at in each: once any
 learner has decided by a version none decides by an older one, and a version has one value.
-`python -m scalelb.lab.search [STATES]` prints how many states were looked at.
+`python -m scalelb.lab.model_check [STATES]` prints how many states were looked at.
 """
 
 from __future__ import annotations
--- a/scalelb/lab/trials.py
+++ b/scalelb/lab/probe_load.py
@@ -1,6 +1,7 @@
 """What many limiters do together to a backend that fails, and to all of them, in virtual time.
 
-`python -m scalelb.lab.trials` prints the table of `docs/overload.md`: one demand through 3 to 200 limiters.
+`python -m scalelb.lab.probe_load` prints the table of `docs/overload.md`: one demand through 3 to 200
+limiters.
 """
 
 from __future__ import annotations
--- a/scalelb/lab/copying.py
+++ b/scalelb/lab/snapshot_transfer.py
@@ -1,8 +1,8 @@
 """A limiter that returns to a peer which holds what its former life wrote, over a real link.
 
-`python -m scalelb.lab.copying [ACCOUNTS]`: this process is the peer (mesh and links, no limiter); the real
-program is started beside stand-ins and copies its former life's accounts back. Prints when it had settled
-(ms of its own), its processor time and memory, and those of a start with nothing to copy beside it.
+`python -m scalelb.lab.snapshot_transfer [ACCOUNTS]`: this process is the peer (mesh and links, no limiter);
+the real program is started beside stand-ins and copies its former life's accounts back. Prints when it had
+settled (ms of its own), its processor time and memory, and those of a start with nothing to copy beside it.
 """
 
 from __future__ import annotations
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -16,7 +16,7 @@
 from scalelb.agreement import Learner, Proposer, Times, Voter, learner, proposer, voter
 from scalelb.agreement.proposer import End
 from scalelb.agreement.words import MalformedWordError
-from scalelb.lab.search import Disk, World, search, wander
+from scalelb.lab.model_check import Disk, World, search, wander
 from scalelb.program.register import Register
 
 NAMES = ("a", "b", "c")
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -12,7 +12,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from scalelb.lab.trials import all_bad, one_bad
+from scalelb.lab.probe_load import all_bad, one_bad
 from scalelb.overload import thin
 from scalelb.overload.crowd import Crowd
 from scalelb.overload.flight import LEAST, MOST, Flight
--- a/tests/test_tries.py
+++ b/tests/test_tries.py
@@ -9,7 +9,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from scalelb.lab.keyed import BEGIN_MS, CLASS, Case, Run
+from scalelb.lab.idempotency import BEGIN_MS, CLASS, Case, Run
 from scalelb.lab.model import START_MS
 from scalelb.peers import Life
 from scalelb.program.tries import HEARD_MOST, OWN_MOST, Tries
