Rename overload/crowd.py (Crowd) to counter_contention.py (CounterContention); behaviour unchanged

Need: "crowd", "line", "part" are words of the earlier house style for contention, queueing delay and sampling rate.

The attribute `crowd` of the gateway stays, as it stands on 15 lines there.

--- a/scalelb/routing/control.py
+++ b/scalelb/routing/control.py
@@ -13,7 +13,7 @@
 
 from scalelb.fairness.records import Records
 from scalelb.overload import thin
-from scalelb.overload.crowd import Crowd
+from scalelb.overload.counter_contention import CounterContention
 from scalelb.routing import health, ledger
 from scalelb.routing import interface as io
 from scalelb.routing.keys import group, homes
@@ -47,8 +47,8 @@
         self.settings, self.aim = settings, min(kind.aim_ms for kind in settings.classes)
         self.usual, self.mean = 0.1 * self.aim, ledger.mean_units(settings)  # latency, units
         self.random, self.retries = random.Random(seed), 1.0  # further attempts kept
-        self.flight.limiters = settings.gateways
-        self.worth, self.open, self.crowd = settings.classes[0].worth, 1.0, Crowd(settings.counter_timeout_ms)
+        self.flight.limiters, self.crowd = settings.gateways, CounterContention(settings.counter_timeout_ms)
+        self.worth, self.open = settings.classes[0].worth, 1.0
         self.deciders: dict[type, Callable[[float, Any], None]] = {
             io.RequestArrived: self._arrive,
             io.AttemptEnded: self._ended,
@@ -178,11 +178,11 @@
         c, cost = request.customer, request.customer.plan.over_cost
         if not c.shared or c.balance >= request.units or self._counted(request):
             return True
-        drawn, request.barred = self.random.random() < self.crowd.part, not self.backoff
+        drawn, request.barred = self.random.random() < self.crowd.sampling_rate, not self.backoff
         known = c.broke or c.reach(self._latest(request)) < request.units  # to be empty
-        if not (drawn or self.backoff or known) and self.random.random() < self.crowd.passing(cost):
+        if not (drawn or self.backoff or known) and self.random.random() < self.crowd.admission_rate(cost):
             c.balance = request.units
-        c.unreported += request.units * self.crowd.beside(cost) * (drawn and not (c.broke or c.calling))
+        c.unreported += request.units * self.crowd.extra_weight(cost) * (drawn and not (c.broke or c.calling))
         return drawn
 
     def _lacks(self, request: Request) -> float:
@@ -262,7 +262,7 @@
                 self._credit(c, now)
             idle = now - c.seen
             self.spare += max(0.0, c.balance) * (not c.queue)
-            part = self.crowd.part  # guards the counter: what is owed can wait
+            part = self.crowd.sampling_rate  # guards the counter: what is owed can wait
             if part >= 1 or self.random.random() < part:
                 self._lease(c, now, False)
             if idle > IDLE_MS and c.balance > c.estimate and c.window >= 0:
@@ -464,7 +464,7 @@
     def _call(self, c: Customer, now: float, ask: float) -> None:
         """Add to the customer's count what it was granted unseen and what is asked for now."""
         most, (window, began) = 1 if self.backoff else CALLS_OUT, ledger.window(c.name * c.shared, now)
-        if c.calling or now < self.crowd.call_at or len(self.calls) >= most * self.settings.counter:
+        if c.calling or now < self.crowd.next_call_at or len(self.calls) >= most * self.settings.counter:
             return
         c.turn(window, began)
         c.amount, c.asked, c.balance = c.unreported + ask, ask, c.balance + min(0.0, ask)
@@ -485,10 +485,10 @@
         if e.outcome not in (io.Outcome.OK, io.Outcome.ERROR):
             # Perhaps added: no grant, no repeat.  Surely not added: what was owed to the counter stays owed.
             c.unreported = (c.unreported + min(0.0, c.asked)) * (e.outcome is not io.Outcome.TIMEOUT)
-            self.crowd.miss(now)
+            self.crowd.on_failure(now)
             c.free()
             return
-        self.crowd.heard(now, e.elapsed_ms)
+        self.crowd.on_answer(now, e.elapsed_ms)
         c.unreported -= 0.0 if c.reading else c.amount - c.asked
         if ledger.first(c, total):
             self._count(c, now, ledger.name(c.name, c.window - 1), 0.0)
@@ -506,7 +506,7 @@
         c.store, c.store_at, c.total = min(kept, filled) - amount, now, total
         # Kept: what rate times window plus burst covers, or will cover in time; the rest goes back.
         c.broke, asked = c.store < 0, max(0.0, c.asked)
-        self.crowd.answered(not c.broke, asked > 0)
+        self.crowd.record_grant(not c.broke, asked > 0)
         short = min(asked, max(0.0, -c.store))
         back = min(short, max(0.0, -c.store - c.plan.rate * HOLD * self.aim / 1000))
         c.balance += asked - short
--- a/scalelb/routing/state.py
+++ b/scalelb/routing/state.py
@@ -6,7 +6,7 @@
 from math import exp, inf
 
 from scalelb.fairness.records import Record, Records
-from scalelb.overload.crowd import Crowd
+from scalelb.overload.counter_contention import CounterContention
 from scalelb.overload.flight import Flight
 from scalelb.routing import interface as io
 from scalelb.routing.keys import Keys
@@ -242,7 +242,7 @@
     records: Records = field(default_factory=lambda: Records(b""))  # of customers that were let go
     unvisited: list[Customer] = field(default_factory=list)  # in this round of house-keeping
     keys: Keys = field(default_factory=Keys)  # counted for the other doors
-    crowd: Crowd = field(default_factory=lambda: Crowd(0.0))  # what may be asked of the counter
+    crowd: CounterContention = field(default_factory=lambda: CounterContention(0.0))  # sampling rate
     flight: Flight = field(default_factory=Flight)  # how many attempts may be out
     spare: float = 0.0  # units of quiet customers
     blocked: bool = False  # no server has room
@@ -257,16 +257,16 @@
     @property
     def backoff(self) -> float:
         """How long the counter is left alone, as it is silent; 0: it is not."""
-        return self.crowd.pause
+        return self.crowd.pause_ms
 
     @property
     def ask(self) -> float:
         """The part of the tries that the counter is asked for."""
-        return self.crowd.part
+        return self.crowd.sampling_rate
 
     @ask.setter
     def ask(self, part: float) -> None:
-        self.crowd.part = part
+        self.crowd.sampling_rate = part
 
     def knows(self, customer: str) -> bool:
         """Whether a customer was seen lately."""
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -110,7 +110,7 @@
     c = d.gateway.customers["ada"]
     told, asked, held = d.calls()[-1].amount, c.asked, c.balance + c.block
     answer(d, 0.0, io.Outcome.ERROR)
-    assert (c.total, d.gateway.backoff, d.gateway.crowd.call_at) == (told, 0.0, 0.0)
+    assert (c.total, d.gateway.backoff, d.gateway.crowd.next_call_at) == (told, 0.0, 0.0)
     assert 0 < c.balance + c.block <= held + asked
     before = c.store
     c.seen = d.now
@@ -491,9 +491,9 @@
     d.wait(4000.0)  # by its own word alone there would be credit again
     before = len(d.sends())
     calls = len(d.calls())
-    d.gateway.crowd.part = 1e-9
+    d.gateway.crowd.sampling_rate = 1e-9
     d.ask("ada", doors=200)
     assert (len(d.sends()), len(d.calls())) == (before, calls)
-    d.gateway.crowd.part = 1.0
+    d.gateway.crowd.sampling_rate = 1.0
     d.ask("ada", doors=200)
     assert len(d.sends()) == before and customer.calling
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -68,7 +68,7 @@
     fleet.silent = True
     for gateway in fleet.gateways:
         while not gateway.crowd.silent:
-            gateway.crowd.miss(fleet.now)
+            gateway.crowd.on_failure(fleet.now)
 
 
 def test_no_class_waits_for_a_silent_counter() -> None:
@@ -102,8 +102,8 @@
     # the others went by what their door was told minutes ago: 64% of all units sent were beyond quotas.
     fleet = Fleet(40, plans=(PLAN,))
     for gateway in fleet.gateways:
-        gateway.crowd.part = 0.15
-        gateway.crowd.heard = lambda now, elapsed_ms: None  # type: ignore[method-assign]
+        gateway.crowd.sampling_rate = 0.15
+        gateway.crowd.on_answer = lambda now, elapsed_ms: None  # type: ignore[method-assign]
     for _ in range(6000):
         customer = fleet.random.randrange(60)
         door = (customer + fleet.random.randrange(30)) % 40
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -14,7 +14,7 @@
 
 from scalelb.lab.probe_load import all_bad, one_bad
 from scalelb.overload import thin
-from scalelb.overload.crowd import Crowd
+from scalelb.overload.counter_contention import CounterContention
 from scalelb.overload.flight import LEAST, MOST, Flight
 from scalelb.routing import interface as io
 
@@ -55,23 +55,23 @@
 
 def test_what_is_asked_of_the_counter_settles_at_what_it_bears() -> None:
     # 200 limiters, each a call in 400 ms at most, and a line that bears 250 calls a second, half of them.
-    crowds, rng = [Crowd(30.0) for _ in range(200)], random.Random(1)
+    limiters, rng = [CounterContention(30.0) for _ in range(200)], random.Random(1)
     now, line, late, calls = 0.0, 0.0, 0, 0
     for step in range(60_000):
         now += 1.0
         line = max(0.0, line - 1.0)
-        for crowd in rng.sample(crowds, 1 if step % 2 else 0):
-            if now >= crowd.call_at and rng.random() < crowd.part:
+        for limiter in rng.sample(limiters, 1 if step % 2 else 0):
+            if now >= limiter.next_call_at and rng.random() < limiter.sampling_rate:
                 line += 4.0
-                crowd.heard(now, 2.0 + line)
+                limiter.on_answer(now, 2.0 + line)
                 calls, late = calls + (step > 30_000), late + (step > 30_000 and 2.0 + line > 150.0)
     assert calls > 5000 and late < 0.03 * calls
-    one = Crowd(30.0)
+    one = CounterContention(30.0)
     for _ in range(3):
-        one.miss(now)
-    assert (one.pause, one.part) == (200.0, 0.6)  # one cut for all that were late together
-    one.heard(now, 2.0)
-    assert one.pause == 0.0
+        one.on_failure(now)
+    assert (one.pause_ms, one.sampling_rate) == (200.0, 0.6)  # one cut for all that were late together
+    one.on_answer(now, 2.0)
+    assert one.pause_ms == 0.0
 
 
 def test_repeats_are_earned_by_good_answers_alone() -> None:
