Rename overload/flight.py (Flight) to concurrency_limit.py (ConcurrencyLimit); behaviour unchanged

Need: "flight" and "what is out" are words of the earlier house style for a concurrency limit and attempts in flight.

The attribute `flight` of the gateway stays beside `crowd` until the decision module is free for it.

--- a/scalelb/routing/control.py
+++ b/scalelb/routing/control.py
@@ -276,7 +276,7 @@
         full = first and c.plan.ceiling_rate > 0 and c.ceiling < request.units
         if request.admission and not full:
             return self._admitted(request, now, charge)
-        full |= len(self.attempts) >= self.flight.most  # guards the backends against what all have out
+        full |= len(self.attempts) >= self.flight.limit  # guards the backends against what all have out
         places = self._homes(request, now) if not full and (request.ran or not self.blocked) else []
         server = next((s for home in places if (s := self._pick(request, now, home))), None)
         if server is None:
@@ -418,7 +418,7 @@
         if e.outcome in io.JUDGED and s.warm >= 1:  # a cold server is slow with nothing in line
             late = e.outcome is io.Outcome.FULL or e.elapsed_ms >= LATE * aim
             self.open = max(LEAST, self.open * SHUT) if late else min(1.0, self.open + OPEN)
-            self.flight.heard(late, len(self.attempts), self.gap)
+            self.flight.on_answer(late, len(self.attempts), self.gap)
         self.usual += good * FLEET_WEIGHT * (latency - self.usual)
         self.full_at = now if e.outcome is io.Outcome.FULL else self.full_at
         health.adapt_limit(s, now, good, e.elapsed_ms, aim)
--- a/scalelb/routing/state.py
+++ b/scalelb/routing/state.py
@@ -6,8 +6,8 @@
 from math import exp, inf
 
 from scalelb.fairness.records import Record, Records
+from scalelb.overload.concurrency_limit import ConcurrencyLimit
 from scalelb.overload.counter_contention import CounterContention
-from scalelb.overload.flight import Flight
 from scalelb.routing import interface as io
 from scalelb.routing.keys import Keys
 
@@ -243,7 +243,7 @@
     unvisited: list[Customer] = field(default_factory=list)  # in this round of house-keeping
     keys: Keys = field(default_factory=Keys)  # counted for the other doors
     crowd: CounterContention = field(default_factory=lambda: CounterContention(0.0))  # sampling rate
-    flight: Flight = field(default_factory=Flight)  # how many attempts may be out
+    flight: ConcurrencyLimit = field(default_factory=ConcurrencyLimit)  # how many attempts may be out
     spare: float = 0.0  # units of quiet customers
     blocked: bool = False  # no server has room
     gap: float = 0.0  # mean ms between answers
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -9,7 +9,7 @@
 from driver import METERED, SAFE, SETTINGS, Driver, of, servers
 
 from scalelb import Gateway
-from scalelb.overload.flight import Flight
+from scalelb.overload.concurrency_limit import ConcurrencyLimit
 from scalelb.routing import interface as io
 from scalelb.routing import ledger
 from scalelb.routing.state import Server
@@ -438,7 +438,7 @@
     def tries(open_part: float) -> int:
         d = many_doors()
         for n in range(60):
-            d.gateway.open, d.gateway.retries, d.gateway.flight = 1.0, 5.0, Flight(1)
+            d.gateway.open, d.gateway.retries, d.gateway.flight = 1.0, 5.0, ConcurrencyLimit(1)
             d.ask(f"c{n}", plan=1)
             d.gateway.open = open_part
             d.end(d.sends()[-1], io.Outcome.TIMEOUT, elapsed_ms=500.0)
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -14,8 +14,8 @@
 
 from scalelb.lab.probe_load import all_bad, one_bad
 from scalelb.overload import thin
+from scalelb.overload.concurrency_limit import MAX_LIMIT, MIN_LIMIT, ConcurrencyLimit
 from scalelb.overload.counter_contention import CounterContention
-from scalelb.overload.flight import LEAST, MOST, Flight
 from scalelb.routing import interface as io
 
 
@@ -153,7 +153,7 @@
 def test_a_fleet_comes_out_of_a_jam(monkeypatch: pytest.MonkeyPatch) -> None:
     # Seen on join+mass, seed 11: 960 attempts a second, of which 70% timed out, where 600 could be served.
     assert served_after_a_jam() > 0.6
-    monkeypatch.setattr(Flight, "heard", lambda *_: None)
+    monkeypatch.setattr(ConcurrencyLimit, "on_answer", lambda *_: None)
     assert served_after_a_jam() < 0.1
 
 
@@ -161,11 +161,11 @@
 def test_the_bound_on_what_is_out_binds_where_many_are_late(gap: float) -> None:
     def bound(late: float) -> float:
         """The part of the time in which it keeps 8 from being out."""
-        flight, rng, binds = Flight(200), random.Random(1), 0
+        limit, rng, binds = ConcurrencyLimit(200), random.Random(1), 0
         for _ in range(4000):
-            flight.heard(rng.random() < late, 8, gap)
-            assert LEAST <= flight.most <= MOST
-            binds += flight.most < 8
+            limit.on_answer(rng.random() < late, 8, gap)
+            assert MIN_LIMIT <= limit.limit <= MAX_LIMIT
+            binds += limit.limit < 8
         return binds / 4000
 
     assert bound(0.0) == 0
