Split overload/thin.py into subsetting.py and retry_budget.py; behaviour unchanged

Need: `thin` held two things under a word of the earlier house style; the field knows them as deterministic subsetting and a retry budget.

In control.py three lines, one for one.

--- a/scalelb/overload/__init__.py
+++ b/scalelb/overload/__init__.py
@@ -1,9 +1,11 @@
-"""Overload handled by many limiters as one fleet.  No I/O: clocks and randomness are passed in.
+"""Overload control that bounds the sum over a fleet of limiters.  No I/O: time and randomness are arguments.
 
-`thin` needs no talk: what each limiter may do so that the sum over all of them stays bounded, from the number
-of limiters alone.  The decision module uses it; it decides.
-"""
-
-from scalelb.overload import thin
+| module | bounds |
+| --- | --- |
+| `counter_contention` | calls to the shared counter, by adaptive throttling |
+| `concurrency_limit` | upstream attempts in flight |
+| `subsetting` | the backends that one limiter sends to, from the number of limiters alone |
+| `retry_budget` | retries, from the number of limiters alone |
 
-__all__ = ["thin"]
+The decision module (`scalelb.routing.control`) applies them.
+"""
--- a/scalelb/routing/control.py
+++ b/scalelb/routing/control.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from scalelb.fairness.records import Records
-from scalelb.overload import thin
+from scalelb.overload import retry_budget, subsetting
 from scalelb.overload.counter_contention import CounterContention
 from scalelb.routing import health, ledger
 from scalelb.routing import interface as io
@@ -407,7 +407,7 @@
         if e.outcome in (io.Outcome.MOOT, io.Outcome.CANCELLED):
             return
         aim, good = request.kind.aim_ms, e.outcome is io.Outcome.OK
-        self.retries = min(thin.kept(self.settings.gateways), self.retries + RETRY_EARN * good)
+        self.retries = min(retry_budget.capacity(self.settings.gateways), self.retries + RETRY_EARN * good)
         units = e.true_units or request.units
         self._measure(now, units * (good and s.serving and s.warm >= 1))
         size = 0.5 + 0.5 * units / self.mean
@@ -538,7 +538,7 @@
             age = max(0.0, now - s.info.started_ms) / told.cold_ms if s.info.started_ms else 1.0
             s.warm = min(1.0, told.cold_from + (1 - told.cold_from) * age)
         self.serving, self.cold = [s for s in serving if s.warm >= 1], [s for s in serving if s.warm < 1]
-        drawn = thin.stretches(self.serving, lambda s: s.info.server, told.index, told.gateways, self.gap)
+        drawn = subsetting.subset(self.serving, lambda s: s.info.server, told.index, told.gateways, self.gap)
         self.pools = [(some, list(accumulate(s.info.size for s in some))) for some in drawn]
         self.shares = list(accumulate(s.info.size * s.warm for s in self.cold))
         self.size = sum(s.info.size for s in serving) / max(1, len(serving))
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -13,36 +13,36 @@
 from hypothesis import strategies as st
 
 from scalelb.lab.probe_load import all_bad, one_bad
-from scalelb.overload import thin
+from scalelb.overload import retry_budget, subsetting
 from scalelb.overload.concurrency_limit import MAX_LIMIT, MIN_LIMIT, ConcurrencyLimit
 from scalelb.overload.counter_contention import CounterContention
 from scalelb.routing import interface as io
 
 
 @given(st.integers(1, 60), st.integers(1, 300), st.floats(1.0, 2000.0))
-def test_every_backend_is_in_as_many_stretches_as_any_other(count: int, limiters: int, gap: float) -> None:
+def test_every_backend_is_in_as_many_subsets_as_any_other(count: int, limiters: int, gap: float) -> None:
     names = [f"deck-{n}" for n in range(count)]
-    wide = thin.width(gap, count)
+    size = subsetting.subset_size(gap, count)
     seen: Counter[str] = Counter()
     for index in range(limiters):
-        near, *all_of_them = thin.stretches(names, str, index, limiters, gap)
-        assert len(set(near)) == len(near) == wide
-        assert [sorted(some) for some in all_of_them] == ([sorted(names)] if wide < count else [])
+        near, *all_of_them = subsetting.subset(names, str, index, limiters, gap)
+        assert len(set(near)) == len(near) == size
+        assert [sorted(some) for some in all_of_them] == ([sorted(names)] if size < count else [])
         seen.update(near)
-    if wide < count and limiters % count == 0:
-        assert set(seen.values()) == {limiters * wide // count}
+    if size < count and limiters % count == 0:
+        assert set(seen.values()) == {limiters * size // count}
 
 
 @given(st.integers(10, 60), st.integers(0, 39), st.floats(10.0, 90.0))
-def test_a_stretch_that_grows_keeps_what_it_had(count: int, index: int, gap: float) -> None:
+def test_a_subset_that_grows_keeps_its_members(count: int, index: int, gap: float) -> None:
     names = [f"deck-{n}" for n in range(count)]
-    small, large = (thin.stretches(names, str, index, 40, ms)[0] for ms in (2 * gap, gap))
+    small, large = (subsetting.subset(names, str, index, 40, ms)[0] for ms in (2 * gap, gap))
     assert set(small) <= set(large)
 
 
-def test_repeats_kept_over_all_limiters_are_few() -> None:
+def test_the_retry_budget_over_all_limiters_is_small() -> None:
     for limiters in (1, 3, 12, 48, 200):
-        assert limiters * thin.kept(limiters) <= max(30.0, limiters)
+        assert limiters * retry_budget.capacity(limiters) <= max(30.0, limiters)
 
 
 @pytest.mark.parametrize("limiters", [3, 48, 200])
@@ -88,19 +88,19 @@
 
 
 def test_trials_of_a_bad_backend_grow_little_with_the_number_of_limiters() -> None:
-    # 0.15 a second at 3 limiters; 1.18 at 200 before each drew among a stretch alone.
+    # 0.15 a second at 3 limiters; 1.18 at 200 before each drew among a subset alone.
     few, many = one_bad(3), one_bad(200)
     assert many["a second"] <= 4 * few["a second"]
     assert many["failed"] + many["refused"] == 0
 
 
-def test_where_the_own_stretch_fails_all_others_are_drawn_from() -> None:
+def test_where_the_own_subset_fails_all_others_are_drawn_from() -> None:
     settings = io.Settings(**{**{f: getattr(SETTINGS, f) for f in SETTINGS.__slots__}, "gateways": 200})
     d = Driver(settings, count=40)
     d.gateway.gap = 1000.0
     d.gateway._rank(d.now)
     near, rest = (some for some, _ in d.gateway.pools)
-    assert (len(near), len(rest)) == (thin.FEWEST, 40)
+    assert (len(near), len(rest)) == (subsetting.MIN_SUBSET_SIZE, 40)
     for server in near:
         server.failing, server.marked = 0.9, d.now
     d.ask(plan=1)
