Rename program/tries.py (Tries) to idempotency_records.py (IdempotencyRecords); behaviour unchanged

Need: the file holds where requests with an idempotency key may have run; "try" is the earlier house style's word.

--- a/scalelb/program/tries.py
+++ b/scalelb/program/idempotency_records.py
@@ -26,7 +26,7 @@
 Write = Callable[[str, Any], None]
 
 
-class Tries:
+class IdempotencyRecords:
     """Keys that may have run, own and others'."""
 
     def __init__(
--- a/scalelb/program/peering.py
+++ b/scalelb/program/peering.py
@@ -26,7 +26,8 @@
 
 from scalelb.fairness.records import Record
 from scalelb.peers import Life, Mesh
-from scalelb.program.tries import FAR_MS, KEYED, Tries
+from scalelb.program.idempotency_records import FAR_MS, KEYED
+from scalelb.program.idempotency_records import IdempotencyRecords as Tries
 from scalelb.routing import health
 from scalelb.routing.bans import Bans, Word
 from scalelb.routing.core import Core
--- a/tests/test_tries.py
+++ b/tests/test_tries.py
@@ -12,7 +12,7 @@
 from scalelb.lab.idempotency import BEGIN_MS, CLASS, Case, Run
 from scalelb.lab.model import START_MS
 from scalelb.peers import Life
-from scalelb.program.tries import HEARD_MOST, OWN_MOST, Tries
+from scalelb.program.idempotency_records import HEARD_MOST, OWN_MOST, IdempotencyRecords
 from scalelb.routing import interface as io
 from scalelb.routing.keys import homes
 
@@ -80,13 +80,13 @@
 
 
 class Chain:
-    """What `Tries` writes, and a core that has nothing."""
+    """What `IdempotencyRecords` writes, and a core that has nothing."""
 
     def __init__(self) -> None:
         self.written: dict[str, Any] = {}
         self.now = START_MS
         core: Any = type("Core", (), {"replicas": None})()
-        self.tries = Tries(core, lambda: self.now, self.write, lambda: None)
+        self.tries = IdempotencyRecords(core, lambda: self.now, self.write, lambda: None)
 
     def write(self, key: str, value: Any) -> None:
         self.written[key] = value
