Rename program/register.py (Register) to policy_register.py (PolicyRegister); behaviour unchanged

Need: the name says neither whose register it is nor of what: a voter's, in the agreement on a policy.

The log's event "register" and the file's form stay.

--- a/scalelb/program/register.py
+++ b/scalelb/program/policy_register.py
@@ -18,7 +18,7 @@
 FORM = 1
 
 
-class Register:
+class PolicyRegister:
     """The file of one voter."""
 
     def __init__(self, path: Path, name: str, log: Callable[..., None]) -> None:
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -17,7 +17,7 @@
 from scalelb.agreement.proposer import End
 from scalelb.agreement.words import MalformedWordError
 from scalelb.lab.model_check import Disk, World, search, wander
-from scalelb.program.register import Register
+from scalelb.program.policy_register import PolicyRegister
 
 NAMES = ("a", "b", "c")
 
@@ -291,20 +291,26 @@
 def test_a_store_that_can_not_be_is_set_aside_and_does_not_vote(tmp_path: Path, how: str) -> None:
     said: list[str] = []
     path = tmp_path / "voter.db"
-    store = Register(path, "a", lambda event, **more: said.append(event))
+    store = PolicyRegister(path, "a", lambda event, **more: said.append(event))
     one = Voter("a", NAMES, store, Times(), 0.0, fresh=True)
     one.received({"k": "agreed", "version": 3, "value": "x"}, 0.0)
     store.close()
-    again = Voter("a", NAMES, Register(path, "a", lambda event, **more: said.append(event)), Times(), 0.0)
+    again = Voter(
+        "a", NAMES, PolicyRegister(path, "a", lambda event, **more: said.append(event)), Times(), 0.0
+    )
     assert (again.state.version, again.lost, said) == (3, False, [])
     spoil(path, how)
-    last = Voter("a", NAMES, Register(path, "a", lambda event, **more: said.append(event)), Times(), 0.0)
+    last = Voter(
+        "a", NAMES, PolicyRegister(path, "a", lambda event, **more: said.append(event)), Times(), 0.0
+    )
     assert last.lost
     assert said == ["register"] * (how != "empty")
-    other = Register(tmp_path / "other.db", "b", lambda event, **more: None)
+    other = PolicyRegister(tmp_path / "other.db", "b", lambda event, **more: None)
     Voter("b", NAMES, other, Times(), 0.0, fresh=True)
     other.close()
-    assert Voter("a", NAMES, Register(tmp_path / "other.db", "a", lambda e, **m: None), Times(), 0.0).lost
+    assert Voter(
+        "a", NAMES, PolicyRegister(tmp_path / "other.db", "a", lambda e, **m: None), Times(), 0.0
+    ).lost
 
 
 @pytest.mark.parametrize(
