Rename program/links.py (Links) to peer_connections.py (PeerConnections); behaviour unchanged

Need: "links" is the earlier house style's word for the connections to peers.

Change: the file, the class, `Program`'s imports; the layers' test asks after the new module (with the old name it would have passed whatever the program loads). The attribute `links`, the file `deploy/peers.toml` and the log stay.

--- a/scalelb/program/__main__.py
+++ b/scalelb/program/__main__.py
@@ -30,7 +30,7 @@
 from scalelb.transport.stream import Log, host_port
 
 if TYPE_CHECKING:
-    from scalelb.program.links import Links
+    from scalelb.program.peer_connections import PeerConnections
     from scalelb.transport.authz.front import GrpcFront
 
 SWEEP_S, SWEEP_FULL_S, TALLY_S = 0.25, 0.03, 5.0  # house-keeping; while new clients wait; log
@@ -75,11 +75,11 @@
             self.succession.enter()
             self.join_bans()
             self.succession.clear()
-        self.links: Links | None = None
+        self.links: PeerConnections | None = None
         if config.peers is not None:
-            from scalelb.program.links import Links
+            from scalelb.program.peer_connections import PeerConnections
 
-            self.links = Links(self, config.peers)
+            self.links = PeerConnections(self, config.peers)
         self.waiting = 0.0  # since when the life before is waited for (s of the reactor)
         self.admin: AdminDoor | None = None
         if fronts.external_authorization or fronts.grpc_health:
--- a/scalelb/program/links.py
+++ b/scalelb/program/peer_connections.py
@@ -20,7 +20,7 @@
 SWEEPS = 10  # ticks between two looks for silent links
 
 
-class Links:
+class PeerConnections:
     """One limiter's links, mesh and peering."""
 
     def __init__(self, program: Program, settings: PeerSettings) -> None:
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -64,7 +64,7 @@
 def test_the_program_does_without_the_extras_until_they_are_configured() -> None:
     extras = (
         "grpc google.protobuf starlette numpy pyarrow click scalelb.lab scalelb.peers scalelb.agreement "
-        "scalelb.program.links scalelb.program.peering scalelb.transport.peerlink asyncio"
+        "scalelb.program.peer_connections scalelb.program.peering scalelb.transport.peerlink asyncio"
     )
     code = (
         "import sys, scalelb.program.__main__, scalelb.wirehost\n"
