--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -5,6 +5,7 @@
 import ast
 import subprocess
 import sys
+import tomllib
 from pathlib import Path
 
 import pytest
@@ -72,3 +73,10 @@
     )
     run = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, cwd=ROOT)
     assert run.stdout.strip() in ("[]", "['asyncio']"), run.stdout + run.stderr
+
+
+def test_every_package_folder_is_listed_for_the_wheel() -> None:
+    # Seen: the wheel lacked two packages that the decision module and the program import.
+    told = tomllib.loads((ROOT / "pyproject.toml").read_text())["tool"]["setuptools"]["packages"]
+    folders = {".".join(path.parent.relative_to(ROOT).parts) for path in SOURCES}
+    assert sorted(told) == sorted(folders)
