--- a/scalelb/routing/control.py
+++ b/scalelb/routing/control.py
@@ -12,8 +12,8 @@
 from typing import Any
 
 from scalelb.fairness.records import Records
-from scalelb.overload import thin
-from scalelb.overload.crowd import Crowd
+from scalelb.overload import retry_budget, subsetting
+from scalelb.overload.counter_contention import CounterContention
 from scalelb.routing import health, ledger
 from scalelb.routing import interface as io
 from scalelb.routing.keys import group, homes
@@ -47,9 +47,9 @@
         self.settings, self.aim = settings, min(kind.aim_ms for kind in settings.classes)
         self.usual, self.mean = 0.1 * self.aim, ledger.mean_units(settings)  # latency, units
         self.random, self.retries = random.Random(seed), 1.0  # further attempts kept
-        self.flight.limiters = settings.gateways
+        self.flight.limiters, self.crowd = settings.gateways, CounterContention(settings.counter_timeout_ms)
         self.precedences = settings.precedences()
-        self.worth, self.open, self.crowd = self.precedences[0], 1.0, Crowd(settings.counter_timeout_ms)
+        self.worth, self.open = self.precedences[0], 1.0
         self.deciders: dict[type, Callable[[float, Any], None]] = {
             io.RequestArrived: self._arrive,
             io.AttemptEnded: self._ended,
@@ -178,11 +178,11 @@
         c, cost = request.customer, request.customer.plan.over_cost
         if not c.shared or c.balance >= request.units or self._counted(request):
             return True
-        drawn, request.barred = self.random.random() < self.crowd.part, not self.backoff
+        drawn, request.barred = self.random.random() < self.crowd.sampling_rate, not self.backoff
         known = c.broke or c.reach(self._latest(request)) < request.units  # to be empty
-        if not (drawn or self.backoff or known) and self.random.random() < self.crowd.passing(cost):
+        if not (drawn or self.backoff or known) and self.random.random() < self.crowd.admission_rate(cost):
             c.balance = request.units
-        c.unreported += request.units * self.crowd.beside(cost) * (drawn and not (c.broke or c.calling))
+        c.unreported += request.units * self.crowd.extra_weight(cost) * (drawn and not (c.broke or c.calling))
         return drawn
 
     def _lacks(self, request: Request) -> float:
@@ -262,7 +262,7 @@
                 self._credit(c, now)
             idle = now - c.seen
             self.spare += max(0.0, c.balance) * (not c.queue)
-            part = self.crowd.part  # guards the counter: what is owed can wait
+            part = self.crowd.sampling_rate  # guards the counter: what is owed can wait
             if part >= 1 or self.random.random() < part:
                 self._lease(c, now, False)
             if idle > IDLE_MS and c.balance > c.estimate and c.window >= 0:
@@ -276,7 +276,7 @@
         full = first and c.plan.ceiling_rate > 0 and c.ceiling < request.units
         if request.admission and not full:
             return self._admitted(request, now, charge)
-        full |= len(self.attempts) >= self.flight.most  # guards the backends against what all have out
+        full |= len(self.attempts) >= self.flight.limit  # guards the backends against what all have out
         places = self._homes(request, now) if not full and (request.ran or not self.blocked) else []
         server = next((s for home in places if (s := self._pick(request, now, home))), None)
         if server is None:
@@ -407,7 +407,7 @@
         if e.outcome in (io.Outcome.MOOT, io.Outcome.CANCELLED):
             return
         aim, good = request.kind.aim_ms, e.outcome is io.Outcome.OK
-        self.retries = min(thin.kept(self.settings.gateways), self.retries + RETRY_EARN * good)
+        self.retries = min(retry_budget.capacity(self.settings.gateways), self.retries + RETRY_EARN * good)
         units = e.true_units or request.units
         self._measure(now, units * (good and s.serving and s.warm >= 1))
         size = 0.5 + 0.5 * units / self.mean
@@ -418,7 +418,7 @@
         if e.outcome in io.JUDGED and s.warm >= 1:  # a cold server is slow with nothing in line
             late = e.outcome is io.Outcome.FULL or e.elapsed_ms >= LATE * aim
             self.open = max(LEAST, self.open * SHUT) if late else min(1.0, self.open + OPEN)
-            self.flight.heard(late, len(self.attempts), self.gap)
+            self.flight.on_answer(late, len(self.attempts), self.gap)
         self.usual += good * FLEET_WEIGHT * (latency - self.usual)
         self.full_at = now if e.outcome is io.Outcome.FULL else self.full_at
         health.adapt_limit(s, now, good, e.elapsed_ms, aim)
@@ -464,7 +464,7 @@
     def _call(self, c: Customer, now: float, ask: float) -> None:
         """Add to the customer's count what it was granted unseen and what is asked for now."""
         most, (window, began) = 1 if self.backoff else CALLS_OUT, ledger.window(c.name * c.shared, now)
-        if c.calling or now < self.crowd.call_at or len(self.calls) >= most * self.settings.counter:
+        if c.calling or now < self.crowd.next_call_at or len(self.calls) >= most * self.settings.counter:
             return
         c.turn(window, began)
         c.amount, c.asked, c.balance = c.unreported + ask, ask, c.balance + min(0.0, ask)
@@ -485,10 +485,10 @@
         if e.outcome not in (io.Outcome.OK, io.Outcome.ERROR):
             # Perhaps added: no grant, no repeat.  Surely not added: what was owed to the counter stays owed.
             c.unreported = (c.unreported + min(0.0, c.asked)) * (e.outcome is not io.Outcome.TIMEOUT)
-            self.crowd.miss(now)
+            self.crowd.on_failure(now)
             c.free()
             return
-        self.crowd.heard(now, e.elapsed_ms)
+        self.crowd.on_answer(now, e.elapsed_ms)
         c.unreported -= 0.0 if c.reading else c.amount - c.asked
         if ledger.first(c, total):
             self._count(c, now, ledger.name(c.name, c.window - 1), 0.0)
@@ -506,7 +506,7 @@
         c.store, c.store_at, c.total = min(kept, filled) - amount, now, total
         # Kept: what rate times window plus burst covers, or will cover in time; the rest goes back.
         c.broke, asked = c.store < 0, max(0.0, c.asked)
-        self.crowd.answered(not c.broke, asked > 0)
+        self.crowd.record_grant(not c.broke, asked > 0)
         short = min(asked, max(0.0, -c.store))
         back = min(short, max(0.0, -c.store - c.plan.rate * HOLD * self.aim / 1000))
         c.balance += asked - short
@@ -538,7 +538,7 @@
             age = max(0.0, now - s.info.started_ms) / told.cold_ms if s.info.started_ms else 1.0
             s.warm = min(1.0, told.cold_from + (1 - told.cold_from) * age)
         self.serving, self.cold = [s for s in serving if s.warm >= 1], [s for s in serving if s.warm < 1]
-        drawn = thin.stretches(self.serving, lambda s: s.info.server, told.index, told.gateways, self.gap)
+        drawn = subsetting.subset(self.serving, lambda s: s.info.server, told.index, told.gateways, self.gap)
         self.pools = [(some, list(accumulate(s.info.size for s in some))) for some in drawn]
         self.shares = list(accumulate(s.info.size * s.warm for s in self.cold))
         self.size = sum(s.info.size for s in serving) / max(1, len(serving))
--- a/scalelb/routing/state.py
+++ b/scalelb/routing/state.py
@@ -6,8 +6,8 @@
 from math import exp, inf
 
 from scalelb.fairness.records import Record, Records
-from scalelb.overload.crowd import Crowd
-from scalelb.overload.flight import Flight
+from scalelb.overload.concurrency_limit import ConcurrencyLimit
+from scalelb.overload.counter_contention import CounterContention
 from scalelb.routing import interface as io
 from scalelb.routing.keys import Keys
 from scalelb.routing.retry_age import RetryAge
@@ -276,8 +276,8 @@
     unvisited: list[Customer] = field(default_factory=list)  # in this round of house-keeping
     keys: Keys = field(default_factory=Keys)  # counted for the other doors
     ages: RetryAge = field(default_factory=RetryAge)  # of requests that clients retry
-    crowd: Crowd = field(default_factory=lambda: Crowd(0.0))  # what may be asked of the counter
-    flight: Flight = field(default_factory=Flight)  # how many attempts may be out
+    crowd: CounterContention = field(default_factory=lambda: CounterContention(0.0))  # sampling rate
+    flight: ConcurrencyLimit = field(default_factory=ConcurrencyLimit)  # how many attempts may be out
     spare: float = 0.0  # units of quiet customers
     blocked: bool = False  # no server has room
     gap: float = 0.0  # mean ms between answers
@@ -291,16 +291,16 @@
     @property
     def backoff(self) -> float:
         """How long the counter is left alone, as it is silent; 0: it is not."""
-        return self.crowd.pause
+        return self.crowd.pause_ms
 
     @property
     def ask(self) -> float:
         """The part of the tries that the counter is asked for."""
-        return self.crowd.part
+        return self.crowd.sampling_rate
 
     @ask.setter
     def ask(self, part: float) -> None:
-        self.crowd.part = part
+        self.crowd.sampling_rate = part
 
     def knows(self, customer: str) -> bool:
         """Whether a customer was seen lately."""
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -9,7 +9,7 @@
 from driver import METERED, SAFE, SETTINGS, Driver, of, servers
 
 from scalelb import Gateway
-from scalelb.overload.flight import Flight
+from scalelb.overload.concurrency_limit import ConcurrencyLimit
 from scalelb.routing import interface as io
 from scalelb.routing import ledger
 from scalelb.routing.state import Server
@@ -110,7 +110,7 @@
     c = d.gateway.customers["ada"]
     told, asked, held = d.calls()[-1].amount, c.asked, c.balance + c.block
     answer(d, 0.0, io.Outcome.ERROR)
-    assert (c.total, d.gateway.backoff, d.gateway.crowd.call_at) == (told, 0.0, 0.0)
+    assert (c.total, d.gateway.backoff, d.gateway.crowd.next_call_at) == (told, 0.0, 0.0)
     assert 0 < c.balance + c.block <= held + asked
     before = c.store
     c.seen = d.now
@@ -438,7 +438,7 @@
     def tries(open_part: float) -> int:
         d = many_doors()
         for n in range(60):
-            d.gateway.open, d.gateway.retries, d.gateway.flight = 1.0, 5.0, Flight(1)
+            d.gateway.open, d.gateway.retries, d.gateway.flight = 1.0, 5.0, ConcurrencyLimit(1)
             d.ask(f"c{n}", plan=1)
             d.gateway.open = open_part
             d.end(d.sends()[-1], io.Outcome.TIMEOUT, elapsed_ms=500.0)
@@ -491,9 +491,9 @@
     d.wait(4000.0)  # by its own word alone there would be credit again
     before = len(d.sends())
     calls = len(d.calls())
-    d.gateway.crowd.part = 1e-9
+    d.gateway.crowd.sampling_rate = 1e-9
     d.ask("ada", doors=200)
     assert (len(d.sends()), len(d.calls())) == (before, calls)
-    d.gateway.crowd.part = 1.0
+    d.gateway.crowd.sampling_rate = 1.0
     d.ask("ada", doors=200)
     assert len(d.sends()) == before and customer.calling
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -12,37 +12,37 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from scalelb.lab.trials import all_bad, one_bad
-from scalelb.overload import thin
-from scalelb.overload.crowd import Crowd
-from scalelb.overload.flight import LEAST, MOST, Flight
+from scalelb.lab.probe_load import all_bad, one_bad
+from scalelb.overload import retry_budget, subsetting
+from scalelb.overload.concurrency_limit import MAX_LIMIT, MIN_LIMIT, ConcurrencyLimit
+from scalelb.overload.counter_contention import CounterContention
 from scalelb.routing import interface as io
 
 
 @given(st.integers(1, 60), st.integers(1, 300), st.floats(1.0, 2000.0))
-def test_every_backend_is_in_as_many_stretches_as_any_other(count: int, limiters: int, gap: float) -> None:
+def test_every_backend_is_in_as_many_subsets_as_any_other(count: int, limiters: int, gap: float) -> None:
     names = [f"deck-{n}" for n in range(count)]
-    wide = thin.width(gap, count)
+    size = subsetting.subset_size(gap, count)
     seen: Counter[str] = Counter()
     for index in range(limiters):
-        near, *all_of_them = thin.stretches(names, str, index, limiters, gap)
-        assert len(set(near)) == len(near) == wide
-        assert [sorted(some) for some in all_of_them] == ([sorted(names)] if wide < count else [])
+        near, *all_of_them = subsetting.subset(names, str, index, limiters, gap)
+        assert len(set(near)) == len(near) == size
+        assert [sorted(some) for some in all_of_them] == ([sorted(names)] if size < count else [])
         seen.update(near)
-    if wide < count and limiters % count == 0:
-        assert set(seen.values()) == {limiters * wide // count}
+    if size < count and limiters % count == 0:
+        assert set(seen.values()) == {limiters * size // count}
 
 
 @given(st.integers(10, 60), st.integers(0, 39), st.floats(10.0, 90.0))
-def test_a_stretch_that_grows_keeps_what_it_had(count: int, index: int, gap: float) -> None:
+def test_a_subset_that_grows_keeps_its_members(count: int, index: int, gap: float) -> None:
     names = [f"deck-{n}" for n in range(count)]
-    small, large = (thin.stretches(names, str, index, 40, ms)[0] for ms in (2 * gap, gap))
+    small, large = (subsetting.subset(names, str, index, 40, ms)[0] for ms in (2 * gap, gap))
     assert set(small) <= set(large)
 
 
-def test_repeats_kept_over_all_limiters_are_few() -> None:
+def test_the_retry_budget_over_all_limiters_is_small() -> None:
     for limiters in (1, 3, 12, 48, 200):
-        assert limiters * thin.kept(limiters) <= max(30.0, limiters)
+        assert limiters * retry_budget.capacity(limiters) <= max(30.0, limiters)
 
 
 @pytest.mark.parametrize("limiters", [3, 48, 200])
@@ -55,23 +55,23 @@
 
 def test_what_is_asked_of_the_counter_settles_at_what_it_bears() -> None:
     # 200 limiters, each a call in 400 ms at most, and a line that bears 250 calls a second, half of them.
-    crowds, rng = [Crowd(30.0) for _ in range(200)], random.Random(1)
+    limiters, rng = [CounterContention(30.0) for _ in range(200)], random.Random(1)
     now, line, late, calls = 0.0, 0.0, 0, 0
     for step in range(60_000):
         now += 1.0
         line = max(0.0, line - 1.0)
-        for crowd in rng.sample(crowds, 1 if step % 2 else 0):
-            if now >= crowd.call_at and rng.random() < crowd.part:
+        for limiter in rng.sample(limiters, 1 if step % 2 else 0):
+            if now >= limiter.next_call_at and rng.random() < limiter.sampling_rate:
                 line += 4.0
-                crowd.heard(now, 2.0 + line)
+                limiter.on_answer(now, 2.0 + line)
                 calls, late = calls + (step > 30_000), late + (step > 30_000 and 2.0 + line > 150.0)
     assert calls > 5000 and late < 0.03 * calls
-    one = Crowd(30.0)
+    one = CounterContention(30.0)
     for _ in range(3):
-        one.miss(now)
-    assert (one.pause, one.part) == (200.0, 0.6)  # one cut for all that were late together
-    one.heard(now, 2.0)
-    assert one.pause == 0.0
+        one.on_failure(now)
+    assert (one.pause_ms, one.sampling_rate) == (200.0, 0.6)  # one cut for all that were late together
+    one.on_answer(now, 2.0)
+    assert one.pause_ms == 0.0
 
 
 def test_repeats_are_earned_by_good_answers_alone() -> None:
@@ -88,19 +88,19 @@
 
 
 def test_trials_of_a_bad_backend_grow_little_with_the_number_of_limiters() -> None:
-    # 0.15 a second at 3 limiters; 1.18 at 200 before each drew among a stretch alone.
+    # 0.15 a second at 3 limiters; 1.18 at 200 before each drew among a subset alone.
     few, many = one_bad(3), one_bad(200)
     assert many["a second"] <= 4 * few["a second"]
     assert many["failed"] + many["refused"] == 0
 
 
-def test_where_the_own_stretch_fails_all_others_are_drawn_from() -> None:
+def test_where_the_own_subset_fails_all_others_are_drawn_from() -> None:
     settings = io.Settings(**{**{f: getattr(SETTINGS, f) for f in SETTINGS.__slots__}, "gateways": 200})
     d = Driver(settings, count=40)
     d.gateway.gap = 1000.0
     d.gateway._rank(d.now)
     near, rest = (some for some, _ in d.gateway.pools)
-    assert (len(near), len(rest)) == (thin.FEWEST, 40)
+    assert (len(near), len(rest)) == (subsetting.MIN_SUBSET_SIZE, 40)
     for server in near:
         server.failing, server.marked = 0.9, d.now
     d.ask(plan=1)
@@ -153,7 +153,7 @@
 def test_a_fleet_comes_out_of_a_jam(monkeypatch: pytest.MonkeyPatch) -> None:
     # Seen on join+mass, seed 11: 960 attempts a second, of which 70% timed out, where 600 could be served.
     assert served_after_a_jam() > 0.6
-    monkeypatch.setattr(Flight, "heard", lambda *_: None)
+    monkeypatch.setattr(ConcurrencyLimit, "on_answer", lambda *_: None)
     assert served_after_a_jam() < 0.1
 
 
@@ -161,11 +161,11 @@
 def test_the_bound_on_what_is_out_binds_where_many_are_late(gap: float) -> None:
     def bound(late: float) -> float:
         """The part of the time in which it keeps 8 from being out."""
-        flight, rng, binds = Flight(200), random.Random(1), 0
+        limit, rng, binds = ConcurrencyLimit(200), random.Random(1), 0
         for _ in range(4000):
-            flight.heard(rng.random() < late, 8, gap)
-            assert LEAST <= flight.most <= MOST
-            binds += flight.most < 8
+            limit.on_answer(rng.random() < late, 8, gap)
+            assert MIN_LIMIT <= limit.limit <= MAX_LIMIT
+            binds += limit.limit < 8
         return binds / 4000
 
     assert bound(0.0) == 0
