Read the figures on use in answers: true units settle a request on real sockets too

Cause: the second element of a backend's array, `used=37,cost=4`, was parsed over and dropped (`read_reply`, `read_behind`), `read_outcome` handed on a load report only, and `AttemptEnded.true_units` was 0 on every real socket. The decisions settled by true units in the simulator alone. In an error line with figures and no report, the figures were taken for a load report.

Change: `resp.read_usage` reads the figures strictly into `UsageFigures`; an error line's figures and report are told apart by their names. `AttemptResult` replaces the three positional values that the pool handed on. `cost` becomes `true_units` of a good answer where `extra.cost-after` is set and it is above 0 and at most `most-units`; elsewhere it counts as not told. `used` becomes `AttemptEnded.used_percent`, also from `usage` on the simulator's wire (less 1); nothing decides by it. Stand-ins answer figures where asked for. The doors that only admit (external authorisation, middleware) see no answer of a backend and need nothing.

Program on real sockets, store of 24 units, 12 requests in a row: guesses of 4 for a true 1 are all served, guesses of 1 for a true 4 stop at 4 to 7.

--- a/scalelb/lab/standins.py
+++ b/scalelb/lab/standins.py
@@ -47,19 +47,33 @@
 
 @dataclass(frozen=True)
 class Plan:
-    """All stand-ins of a run.  `work_ms` is a unit's work by class."""
+    """All stand-ins of a run.  `work_ms` is a unit's work by class.
+
+    With `true_per_guess` above 0, every answer tells that many true units for each unit of the guess; with
+    `used_percent` of 0 or more, it tells that use of the customer's quota.
+    """
 
     decks: tuple[DeckSpec, ...]
     work_ms: dict[str, float]
     counter_ms: float = 1.0
     record: bool = False  # keep every attempt that was seen
+    true_per_guess: float = 0.0
+    used_percent: float = -1.0
 
     @classmethod
     def read(cls, options: dict[str, Any]) -> Plan:
         """From JSON."""
         decks = tuple(DeckSpec(**deck) for deck in options["decks"])
         more = options.get("counter_ms", 1.0), options.get("record", False)
-        return cls(decks, options["work_ms"], *more)
+        figures = options.get("true_per_guess", 0.0), options.get("used_percent", -1.0)
+        return cls(decks, options["work_ms"], *more, *figures)
+
+    def usage(self, guess: float) -> bytes:
+        """The figures on use of an answer, as an element of it; null where none are asked for."""
+        items = [b"used=%g" % self.used_percent] if self.used_percent >= 0 else []
+        items += [b"cost=%g" % (self.true_per_guess * guess)] if self.true_per_guess > 0 else []
+        text = b",".join(items)
+        return b"$%d\r\n%s\r\n" % (len(text), text) if text else b"$-1\r\n"
 
 
 @dataclass(eq=False)
@@ -69,6 +83,7 @@
     session: DeckSession
     ident: bytes
     work_ms: float
+    units: float = 0.0  # by the client's guess
     reply: bytes = b""  # once it is done
 
 
@@ -78,9 +93,9 @@
 
     noisy = False
 
-    def __init__(self, reactor: Any, spec: DeckSpec, work_ms: dict[str, float]) -> None:
-        self.reactor, self.spec = reactor, spec
-        self.work_ms = {name.encode(): ms for name, ms in work_ms.items()}
+    def __init__(self, reactor: Any, spec: DeckSpec, plan: Plan) -> None:
+        self.reactor, self.spec, self.plan = reactor, spec, plan
+        self.work_ms = {name.encode(): ms for name, ms in plan.work_ms.items()}
         self.started = reactor.seconds()
         self.running = 0
         self.waiting: deque[Job] = deque()
@@ -111,7 +126,8 @@
 
     def take(self, session: DeckSession, call: resp.Call) -> Job:
         """A whole command has come."""
-        job = Job(session, call.ident, call.units * self.work_ms.get(call.kind.encode(), 1.0))
+        work_ms = call.units * self.work_ms.get(call.kind.encode(), 1.0)
+        job = Job(session, call.ident, work_ms, call.units)
         self.tally["taken"] += 1
         self.note("take", job, customer=f"{int(call.customer, 16):016x}", units=call.units, key=call.key)
         if self.drains and self.reactor.seconds() - self.drained_at > 1.0:
@@ -144,7 +160,7 @@
         self.tally["served"] += 1
         # The value names the request it was made for, so that a client knows one made for another.
         value = b"%s %s" % (self.spec.name.encode(), job.ident)
-        job.reply = b"*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n" % (len(value), value)
+        job.reply = b"*3\r\n$%d\r\n%s\r\n%s$-1\r\n" % (len(value), value, self.plan.usage(job.units))
         job.session.flush()
         while self.waiting and self.running < self.spec.cores:
             waiting = self.waiting.popleft()
@@ -174,7 +190,7 @@
                     self.order.append(self.deck.take(self, resp.Call.read(command)))
                 else:
                     answer = resp.PONG if command.name == b"PING" else resp.error("unknown command")
-                    self.order.append(Job(self, b"", 0.0, answer))
+                    self.order.append(Job(self, b"", 0.0, reply=answer))
             self.flush()
         except MalformedError:
             self.deck.tally["malformed"] += 1
@@ -327,7 +343,7 @@
 
     def __init__(self, reactor: Any, plan: Plan) -> None:
         self.reactor = reactor
-        self.decks = {spec.name: Deck(reactor, spec, plan.work_ms) for spec in plan.decks}
+        self.decks = {spec.name: Deck(reactor, spec, plan) for spec in plan.decks}
         self.seen: list[dict[str, Any]] = []
         for deck in self.decks.values():
             deck.seen = self.seen if plan.record else None
--- a/scalelb/program/config.py
+++ b/scalelb/program/config.py
@@ -154,6 +154,7 @@
         fall_multiple=rules.number("fall-multiple", above=True),
         fall_ms=rules.number("fall-ms", above=True),
         most_units=extra.number("most-units"),
+        units_settled=extra.flag("cost-after", default=False),
         counter=extra.flag("shared-counter"),
         counter_timeout_ms=extra.number("count-limit-ms"),
         cancel=limits.flag("cancel"),
--- a/scalelb/program/loop.py
+++ b/scalelb/program/loop.py
@@ -14,7 +14,7 @@
 from scalelb.routing.core import Core, Limits, Ticket
 from scalelb.routing.figures import Figures
 from scalelb.transport.counter import CounterClient
-from scalelb.transport.fetch import BackendConnection, Fetch, Piece, Pool, PoolLimits
+from scalelb.transport.fetch import AttemptResult, BackendConnection, Fetch, Piece, Pool, PoolLimits
 from scalelb.transport.session import Held
 from scalelb.transport.stream import Delay, Log, Reactor
 
@@ -70,11 +70,14 @@
             session.begin(held.answer, connection)
             return lambda data: session.piece(held.answer, data)
 
-        def ended(outcome: io.Outcome, value: memoryview | None, report: Any) -> None:
+        def ended(result: AttemptResult) -> None:
             if ticket.out and ticket.attempt == attempt:
-                if ticket.first and outcome is not io.Outcome.OK and not ticket.done:
+                if ticket.first and result.outcome is not io.Outcome.OK and not ticket.done:
                     session.broken(held.answer, ticket)
-                self.core.fetched(ticket, outcome, value, report)
+                usage = result.usage
+                self.core.fetched(
+                    ticket, result.outcome, result.value, result.report, usage.true_units, usage.used_percent
+                )
 
         until, place = self.clock() + patience_ms, self.kinds[held.call.kind]
 
--- a/scalelb/protocol/resp.py
+++ b/scalelb/protocol/resp.py
@@ -17,6 +17,9 @@
 WHOLE = re.compile(rb"[0-9]{1,9}")
 FIGURE = re.compile(rb"([A-Za-z_]{1,32})=([0-9]{1,12}(?:\.[0-9]{1,18})?(?:[eE][-+]?[0-9]{1,2})?)")
 FIGURE_MOST = 1e9  # of a report
+USAGE_NAME = re.compile(rb"(?:^|,)(?:used|cost)=")
+USAGE_BYTES_MOST = 256  # of the figures on use
+PLAIN_DECIMAL = re.compile(rb"[0-9]{1,9}(?:\.[0-9]{1,9})?")
 LINE = re.compile(rb"-[A-Z]+(?: [ -~]*)?")  # an error line as backends write them
 LIST_MOST = 1024  # of a call's values
 VALUE_MOST = 64 * 1024  # that is read whole
@@ -252,13 +255,27 @@
         return b"".join((raw[: self.mark], b"$%d\r\n" % size, before, wait, after))
 
 
+@dataclass(frozen=True, slots=True)
+class UsageFigures:
+    """Figures on use that came with a backend's answer."""
+
+    used_percent: float | None = None  # of the customer's quota, by all limiters, in the last finished period
+    true_units: float = 0.0  # that take the place of the guess; 0: not told
+
+
+NO_USAGE = UsageFigures()
+
+
 class Reply:
-    """A backend's reply.  `value` is the bulk string with its length, as it lies in the buffer."""
+    """A backend's reply.  `value` is the bulk string with its length, as it lies in the buffer; `usage` and
+    `report` are the texts of the figures on use and of the load report, empty where there is none."""
 
-    __slots__ = ("end", "line", "report", "value")
+    __slots__ = ("end", "line", "report", "usage", "value")
 
-    def __init__(self, end: int, value: memoryview | None, line: bytes, report: bytes) -> None:
-        self.end, self.value, self.line, self.report = end, value, line, report
+    def __init__(
+        self, end: int, value: memoryview | None, line: bytes, report: bytes = b"", usage: bytes = b""
+    ) -> None:
+        self.end, self.value, self.line, self.report, self.usage = end, value, line, report, usage
 
 
 class ReplyReader:
@@ -374,13 +391,13 @@
             return None
         if mark == 45 and LINE.fullmatch(buffer, at, end) is None:
             raise MalformedError("an error line can't be read")
-        return Reply(end + 2, None, buffer[at:end], b"")
+        return Reply(end + 2, None, buffer[at:end])
     if mark != 42:  # *
         element = _bulk(buffer, at)
         if element is None:
             return None
         begin, _, after = element
-        return Reply(after, memoryview(buffer)[at:after] if begin >= 0 else None, b"$", b"")
+        return Reply(after, memoryview(buffer)[at:after] if begin >= 0 else None, b"$")
     end = buffer.find(b"\r\n", at, at + HEADER_MOST)
     if end < 0:
         if len(buffer) - at >= HEADER_MOST:
@@ -388,7 +405,7 @@
         return None
     if (count := _length(buffer, at, end)) != REPLY_PARTS:
         raise MalformedError(f"{count} elements in a reply")
-    place, value, report = end + 2, None, b""
+    place, value, usage, report = end + 2, None, b"", b""
     for number in range(count):
         if (element := (_beside if number else _bulk)(buffer, place)) is None:
             return None
@@ -397,10 +414,12 @@
             if begin < 0:
                 raise MalformedError("a reply without a value")
             value = memoryview(buffer)[place:after]
-        elif number == 2 and begin >= 0:
+        elif begin >= 0 and number == 1:
+            usage = buffer[begin:end]
+        elif begin >= 0:
             report = buffer[begin:end]
         place = after
-    return Reply(place, value, b"", report)
+    return Reply(place, value, b"", report, usage)
 
 
 def read_behind(buffer: bytes) -> Reply | None:
@@ -408,14 +427,38 @@
     use and report."""
     if buffer[:2] != b"\r\n"[: len(buffer)]:
         raise MalformedError("a value is longer than its length says")
-    place, report = 2, b""
-    for number in range(1, REPLY_PARTS):
+    place, texts = 2, [b"", b""]
+    for number in range(REPLY_PARTS - 1):
         if (element := _beside(buffer, place)) is None:
             return None
         begin, end, place = element
-        if number == REPLY_PARTS - 1 and begin >= 0:
-            report = buffer[begin:end]
-    return Reply(place, memoryview(buffer)[:2], b"", report)
+        if begin >= 0:
+            texts[number] = buffer[begin:end]
+    usage, report = texts
+    return Reply(place, memoryview(buffer)[:2], b"", report, usage)
+
+
+def read_usage(text: bytes) -> UsageFigures:
+    """Figures on use, `used=37,cost=4`.  Unknown names are skipped; a figure that is no plain decimal number,
+    or that is told twice, counts as not told."""
+    if len(text) > USAGE_BYTES_MOST:
+        return NO_USAGE
+    told: dict[bytes, float | None] = {}
+    for item in text.split(b","):
+        name, _, figure = item.partition(b"=")
+        if name == b"used" or name == b"cost":
+            good = name not in told and PLAIN_DECIMAL.fullmatch(figure) is not None
+            told[name] = float(figure) if good else None
+    return UsageFigures(told.get(b"used"), told.get(b"cost") or 0.0)
+
+
+def read_error_line(line: bytes) -> tuple[bytes, bytes]:
+    """The texts of figures on use and load report in an error line, empty where there is none.  Each is one
+    word; they are told apart by the names of the figures, and a report stands last."""
+    words = line.split(b" ")[1:] if b"=" in line else []
+    usage = [word for word in words if USAGE_NAME.search(word) is not None]
+    report = words[-1] if words and words[-1] not in usage else b""
+    return usage[0] if len(usage) == 1 else b"", report
 
 
 def read_report(text: bytes) -> dict[str, float]:
--- a/scalelb/routing/core.py
+++ b/scalelb/routing/core.py
@@ -228,8 +228,13 @@
         value: memoryview | None = None,
         report: Mapping[str, float] = NO_REPORT,
         units: float = 0.0,
+        used_percent: float | None = None,
     ) -> None:
-        """How the attempt that is out has ended.  A good answer goes to the client at once."""
+        """How the attempt that is out has ended.  A good answer goes to the client at once.
+
+        `units` are the true ones, where the answer told them; `used_percent` is the customer's use of its
+        quota in the last finished metering period, by all limiters.
+        """
         if not ticket.out:
             return
         ticket.out = False
@@ -238,7 +243,13 @@
             self._answer(ticket, Verdict.SERVED, value)
         elif ticket.first and not ticket.done:  # it broke and nothing of it has left: its time runs again
             self._timer(ticket.expires, ticket.ident, EXPIRY)
-        self._ended(ticket, outcome, report, units)
+        self._ended(ticket, outcome, report, self._true_units(outcome, units), used_percent)
+
+    def _true_units(self, outcome: io.Outcome, units: float) -> float:
+        """The units that settle a request, 0 where none were told.  Guards the quotas against an answer that
+        tells units where none are settled, or more than a request can have."""
+        settles = self.settings.units_settled and outcome is io.Outcome.OK
+        return units if settles and 0 < units <= (self.settings.most_units or units) else 0.0
 
     def counted(self, name: int, outcome: io.Outcome, total: float, elapsed_ms: float) -> None:
         """What became of a call to the counter."""
@@ -470,6 +481,7 @@
         outcome: io.Outcome,
         report: Mapping[str, float] = NO_REPORT,
         units: float = 0.0,
+        used_percent: float | None = None,
     ) -> None:
         # Of an answer that flowed, the first bytes tell how fast the server is, not the client.
         elapsed, ticket.first = (ticket.first or self.clock()) - ticket.sent, 0.0
@@ -478,7 +490,15 @@
             self.door.answered(self.clock(), ticket.server, elapsed, ticket.size, ticket.load, good)
         self.inbox.append(
             io.AttemptEnded(
-                ticket.ident, ticket.attempt, ticket.server, outcome, elapsed, ticket.done, units, report
+                ticket.ident,
+                ticket.attempt,
+                ticket.server,
+                outcome,
+                elapsed,
+                ticket.done,
+                units,
+                report,
+                used_percent,
             )
         )
         if ticket.done:
--- a/scalelb/routing/interface.py
+++ b/scalelb/routing/interface.py
@@ -105,6 +105,7 @@
     fall_multiple: float  # sent more than so many times what it can do by then,
     fall_ms: float  # within this time, it falls over
     most_units: float  # of one request
+    units_settled: bool = False  # units are a guess; the first good answer tells the true ones
     counter: bool = False
     counter_timeout_ms: float = 0.0
     cancel: bool = False
@@ -206,6 +207,7 @@
     final: bool  # the request is finished
     true_units: float = 0.0  # 0: not told
     report: Mapping[str, float] = field(default_factory=dict)
+    used_percent: float | None = None  # customer's use of its quota in the last metered period, all limiters
 
 
 @dataclass(frozen=True, slots=True)
--- a/scalelb/transport/fetch.py
+++ b/scalelb/transport/fetch.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from scalelb.protocol import MalformedError, resp
 from scalelb.routing import interface as io
@@ -13,7 +13,20 @@
 Left = Callable[[], None]
 Write = Callable[[], bytes | None]  # the bytes of a fetch, made as they are written; none: it is not wanted
 Piece = Callable[[bytes | memoryview], None]
-Ended = Callable[[io.Outcome, memoryview | None, Mapping[str, float]], None]
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptResult:
+    """How an attempt or a probe ended, and what its answer told.  `value` is good until the call that hands
+    it over returns."""
+
+    outcome: io.Outcome
+    value: memoryview | None = None
+    report: Mapping[str, float] = field(default_factory=dict)
+    usage: resp.UsageFigures = resp.NO_USAGE
+
+
+Ended = Callable[[AttemptResult], None]
 INFO_TIMEOUT_MS = 250.0
 STALL_MS = 4000.0  # that a value which flows may stand still for the backend's part
 SETTLE_MS = 5.0  # that a connection rests before it is preferred to one that has rested
@@ -55,13 +68,11 @@
         if left is not None:
             left()
 
-    def end(
-        self, outcome: io.Outcome, value: memoryview | None = None, report: Mapping[str, float] = NO_REPORT
-    ) -> None:
+    def end(self, result: AttemptResult) -> None:
         """Tell, once."""
         if not self.done:
             self.done = True
-            self.ended(outcome, value, report)
+            self.ended(result)
 
 
 class BackendConnection(Stream):
@@ -94,7 +105,7 @@
         if wire is None:
             self.fetch = fetch.connection = None
             self.backend.rest(self)
-            fetch.end(io.Outcome.MOOT)
+            fetch.end(AttemptResult(io.Outcome.MOOT))
             return
         self.fetch, fetch.connection, self.written = fetch, self, True
         self.send(wire)
@@ -118,7 +129,7 @@
                 reply = self.reader.read(b"")
             if reply is None:
                 return
-            outcome = read_outcome(reply, fetch.probe)
+            result = read_outcome(reply, fetch.probe)
         except MalformedError as error:
             self.spoilt(str(error))
             return
@@ -130,7 +141,7 @@
             self.spoilt("more than the reply that was owed")
         else:
             self.backend.rest(self)
-        fetch.end(*outcome)
+        fetch.end(result)
 
     def begin_value(self, fetch: Fetch) -> bool:
         """Pass a long value on from here, if one has begun."""
@@ -169,22 +180,27 @@
         if (fetch := self.fetch) is not None:
             self.fetch = fetch.connection = None
             sent = self.written and self.flushed
-            fetch.end(io.Outcome.RESET if sent else io.Outcome.CONNECT_FAILED)
+            fetch.end(AttemptResult(io.Outcome.RESET if sent else io.Outcome.CONNECT_FAILED))
 
 
-def read_outcome(reply: resp.Reply, probe: bool) -> tuple[io.Outcome, memoryview | None, Mapping[str, float]]:
-    """A backend's reply as an outcome.  Only a probe is answered with a bulk string or a status line."""
-    if not reply.line:
-        report = resp.read_report(reply.report) if reply.report else NO_REPORT
-        return io.Outcome.OK, reply.value, report
-    if not reply.line.startswith(b"-"):
+def read_outcome(reply: resp.Reply, probe: bool) -> AttemptResult:
+    """A backend's reply as a result.  Only a probe is answered with a bulk string or a status line."""
+    line, usage, report = reply.line, reply.usage, reply.report
+    if not line:
+        outcome = io.Outcome.OK
+    elif not line.startswith(b"-"):
         if not probe:
-            raise MalformedError(f"a request is not answered with {reply.line[:20]!r}")
-        return io.Outcome.OK, reply.value, NO_REPORT
-    if reply.line == b"-BUSY" or reply.line.startswith(b"-BUSY "):
-        return io.Outcome.FULL, None, NO_REPORT
-    report = resp.read_report(reply.line.rpartition(b" ")[2]) if b"=" in reply.line else NO_REPORT
-    return io.Outcome.ERROR, None, report
+            raise MalformedError(f"a request is not answered with {line[:20]!r}")
+        outcome = io.Outcome.OK
+    else:
+        outcome = io.Outcome.FULL if line.split(b" ", 1)[0] == b"-BUSY" else io.Outcome.ERROR
+        usage, report = resp.read_error_line(line)
+    return AttemptResult(
+        outcome,
+        reply.value,
+        resp.read_report(report) if report else NO_REPORT,
+        resp.read_usage(usage) if usage else resp.NO_USAGE,
+    )
 
 
 class Backend:
@@ -208,7 +224,7 @@
             connection.spoilt("bytes that nothing asked for, or its end")
         if not self.serving or len(self.open) >= self.pool.limits.each or not self.pool.room():
             # Guards a backend that drains, and the descriptors.  Never written, it tells nothing of it.
-            fetch.end(io.Outcome.MOOT)
+            fetch.end(AttemptResult(io.Outcome.MOOT))
         else:
             self.dial(fetch)
 
@@ -267,7 +283,7 @@
             fetch, connection.fetch = connection.fetch, None
             if fetch is not None:
                 fetch.connection = None
-                fetch.end(io.Outcome.MOOT)
+                fetch.end(AttemptResult(io.Outcome.MOOT))
 
     def retire(self) -> None:
         """The backend is gone: idle connections close, the others when they are free.  Another machine may
@@ -346,7 +362,7 @@
         long value begins to come: it returns who takes the pieces."""
         fetch = Fetch(write, ended, probe, left, begun)
         if (backend := self.backends.get(server)) is None:
-            fetch.end(io.Outcome.CONNECT_FAILED)
+            fetch.end(AttemptResult(io.Outcome.CONNECT_FAILED))
         else:
             backend.start(fetch)
         return fetch
@@ -365,9 +381,10 @@
     def probe(self, server: str, ended: Callable[[io.Outcome, Mapping[str, float]], None]) -> None:
         """Ask a backend for its load."""
 
-        def told(outcome: io.Outcome, value: memoryview | None, _: Mapping[str, float]) -> None:
+        def told(result: AttemptResult) -> None:
+            value = result.value
             text = bytes(value).partition(b"\r\n")[2].strip() if value is not None else b""
-            ended(outcome, resp.read_report(text) if text else NO_REPORT)
+            ended(result.outcome, resp.read_report(text) if text else NO_REPORT)
 
         def late() -> None:
             if not fetch.done:
--- a/scalelb/wirehost.py
+++ b/scalelb/wirehost.py
@@ -76,6 +76,7 @@
                 final=f.get("complete", False),
                 true_units=f.get("final-units", 0),
                 report=f.get("telemetry", {}),
+                used_percent=f["usage"] - 1.0 if f.get("usage") else None,  # 0 or absent: not told
             )
         case "Fired":
             return io.TimerFired(tag=f.get("tag", 0))
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -33,6 +33,7 @@
     def __init__(self) -> None:
         super().__init__(daemon=True)
         self.server = socket.create_server(("127.0.0.1", 0))
+        self.usage = b""  # figures on use that its answers carry
         self.may, self.came = threading.Event(), threading.Event()
         self.may.set()
         self.start()
@@ -47,7 +48,8 @@
             while connection.recv(65536):
                 self.came.set()
                 self.may.wait(PATIENCE)
-                connection.sendall(b"*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n")
+                usage = b"$%d\r\n%s\r\n" % (len(self.usage), self.usage) if self.usage else b"$-1\r\n"
+                connection.sendall(b"*3\r\n$2\r\nok\r\n" + usage + b"$-1\r\n")
 
 
 class Peer:
--- a/tests/standin.py
+++ b/tests/standin.py
@@ -11,7 +11,7 @@
 
 from scalelb.fairness import DoorSettings
 from scalelb.routing import interface as io
-from scalelb.routing.core import Core, Ticket
+from scalelb.routing.core import NO_REPORT, Core, Ticket
 
 KEYED = io.RequestClass(1000.0, 4000.0, io.Effect.KEYED, io.Group.ALL, 4000.0, worth=6.0)
 SAFE = io.RequestClass(2000.0, 7500.0, worth=2.0)
@@ -51,6 +51,8 @@
         self.due: list[tuple[float, Any]] = []
         self.fetched: list[tuple[str, str]] = []
         self.dropped = 0
+        self.true_units = 0.0  # that good answers tell
+        self.used_percent: float | None = None
         info = tuple(io.ServerInfo(f"s{n}", io.State.SERVING) for n in range(12))
         self.core.listed(info, True)
         self.run()
@@ -63,7 +65,8 @@
 
     def _served(self, ticket: Ticket, attempt: int) -> None:
         if ticket.out and ticket.attempt == attempt:
-            self.core.fetched(ticket, io.Outcome.OK, memoryview(b"$2\r\nok\r\n"))
+            told = self.true_units, self.used_percent
+            self.core.fetched(ticket, io.Outcome.OK, memoryview(b"$2\r\nok\r\n"), NO_REPORT, *told)
 
     def drop(self, ticket: Ticket) -> None:
         self.dropped += 1
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -15,8 +15,9 @@
 
 from scalelb.protocol import MalformedError, agentcheck, headers, http, resp
 from scalelb.protocol.agentcheck import Status
+from scalelb.protocol.resp import NO_USAGE, UsageFigures
 from scalelb.routing.core import NO_REPORT
-from scalelb.transport.fetch import read_outcome
+from scalelb.transport.fetch import AttemptResult, read_outcome
 
 ROOT = Path(__file__).parent.parent
 QUICK = settings(max_examples=150, deadline=None, derandomize=True)
@@ -56,9 +57,9 @@
     for wire, (said, figures) in REPLIES.items():
         reader = resp.ReplyReader()
         [reply] = filter(None, map(reader.read, cut(wire, places)))
-        outcome, value, report = read_outcome(reply, probe=True)
-        assert (outcome.value, report) == ("ok" if said == "one" else said, figures)
-        assert said != "one" or (value is not None and bytes(value) == b"$3\r\none\r\n")
+        result = read_outcome(reply, probe=True)
+        assert (result.outcome.value, result.report) == ("ok" if said == "one" else said, figures)
+        assert said != "one" or (result.value is not None and bytes(result.value) == b"$3\r\none\r\n")
         assert not reader.extra
     assert NO_REPORT == {}
 
@@ -88,9 +89,101 @@
     wire = b"*3\r\n$3\r\none\r\n$-1\r\n$%d\r\n%s\r\n" % (len(text), text.encode())
     reply = resp.ReplyReader().read(wire)
     assert reply is not None
-    outcome, value, report = read_outcome(reply, probe=False)
-    assert (outcome.value, report) == ("ok", {})
-    assert value is not None and bytes(value) == b"$3\r\none\r\n"
+    result = read_outcome(reply, probe=False)
+    assert (result.outcome.value, result.report) == ("ok", {})
+    assert result.value is not None and bytes(result.value) == b"$3\r\none\r\n"
+
+
+USAGE_TEXTS = {
+    b"used=37,cost=4": UsageFigures(37.0, 4.0),
+    b"cost=2.5": UsageFigures(None, 2.5),
+    b"used=0": UsageFigures(0.0),
+    b"later=x,used=12,also": UsageFigures(12.0),  # what has no meaning here is skipped
+    b"used=5,later=1,later=2": UsageFigures(5.0),
+    b"used=nan,cost=4": UsageFigures(None, 4.0),
+    b"used=inf,cost=-4": NO_USAGE,
+    b"cost=1e1,used=1_0": NO_USAGE,
+    b"cost=0x4,used=+3": NO_USAGE,
+    b"cost=4\n,used= 3": NO_USAGE,
+    b"cost=1,cost=2,cost=3,used=9": UsageFigures(9.0),  # told more than once: which one holds is not known
+    b"cost=,used": NO_USAGE,
+    b"cost=" + b"9" * 10: NO_USAGE,
+    b"cost=" + b"9" * 400: NO_USAGE,
+    b"": NO_USAGE,
+    b"," * 200: NO_USAGE,
+    b"used=3," + b"x" * 300: NO_USAGE,
+    b"\xff\x00=1,cost=2": UsageFigures(None, 2.0),
+}
+
+
+@pytest.mark.parametrize("text", USAGE_TEXTS, ids=repr)
+def test_figures_on_use_are_read_strictly(text: bytes) -> None:
+    assert resp.read_usage(text) == USAGE_TEXTS[text]
+
+
+def answered(wire: bytes, places: list[int]) -> AttemptResult:
+    """What a reply says that comes cut at these places."""
+    reader = resp.ReplyReader()
+    [reply] = filter(None, map(reader.read, cut(wire, places)))
+    assert not reader.extra
+    return read_outcome(reply, probe=False)
+
+
+USAGE_REPLIES: dict[bytes, tuple[str, Any, UsageFigures]] = {
+    b"*3\r\n$3\r\none\r\n$14\r\nused=37,cost=4\r\n$-1\r\n": ("ok", {}, UsageFigures(37.0, 4.0)),
+    b"*3\r\n$3\r\none\r\n$7\r\nused=37\r\n$7\r\nqueue=2\r\n": ("ok", {"queue": 2.0}, UsageFigures(37.0)),
+    b"*3\r\n$3\r\none\r\n$-1\r\n$7\r\nqueue=2\r\n": ("ok", {"queue": 2.0}, NO_USAGE),
+    b"*3\r\n$3\r\none\r\n_\r\n_\r\n": ("ok", {}, NO_USAGE),
+    b"*3\r\n$3\r\none\r\n:37\r\n$-1\r\n": ("ok", {}, NO_USAGE),
+    b"*3\r\n$3\r\none\r\n+used=37\r\n$-1\r\n": ("ok", {}, NO_USAGE),
+    b"*3\r\n$3\r\none\r\n*2\r\n$7\r\nused=37\r\n:4\r\n$-1\r\n": ("ok", {}, NO_USAGE),
+    b"-ERR failed used=37,cost=4\r\n": ("error", {}, UsageFigures(37.0, 4.0)),
+    b"-ERR failed used=37 queue=3\r\n": ("error", {"queue": 3.0}, UsageFigures(37.0)),
+    b"-ERR failed queue=3\r\n": ("error", {"queue": 3.0}, NO_USAGE),
+    b"-ERR failed later=1,used=37 queue=3,busy=1\r\n": (
+        "error",
+        {"queue": 3.0, "busy": 1.0},
+        UsageFigures(37.0),
+    ),
+    b"-ERR a=b is no figure\r\n": ("error", {}, NO_USAGE),
+    b"-ERR used=1 used=2\r\n": ("error", {}, NO_USAGE),
+    b"-ERR\r\n": ("error", {}, NO_USAGE),
+    b"-BUSY used=120\r\n": ("full", {}, UsageFigures(120.0)),
+    b"-BUSYBODY\r\n": ("error", {}, NO_USAGE),
+}
+
+
+@QUICK
+@given(st.lists(st.integers(0, 10_000), max_size=12))
+def test_figures_and_report_are_told_apart_however_a_reply_is_cut(places: list[int]) -> None:
+    for wire, (outcome, report, usage) in USAGE_REPLIES.items():
+        result = answered(wire, places)
+        assert (result.outcome.value, result.report, result.usage) == (outcome, report, usage), wire
+        assert outcome != "ok" or (result.value is not None and bytes(result.value) == b"$3\r\none\r\n")
+
+
+@QUICK
+@given(st.binary(max_size=300), st.lists(st.integers(0, 10_000), max_size=6))
+def test_no_figures_on_use_spoil_a_value(text: bytes, places: list[int]) -> None:
+    wire = b"*3\r\n$3\r\none\r\n$%d\r\n%s\r\n$-1\r\n" % (len(text), text)
+    result = answered(wire, places)
+    assert result.outcome.value == "ok"
+    assert result.value is not None and bytes(result.value) == b"$3\r\none\r\n"
+    assert 0.0 <= result.usage.true_units < 1e9 and 0.0 <= (result.usage.used_percent or 0.0) < 1e9
+
+
+@pytest.mark.parametrize(
+    ("told", "usage"), [(b"$6\r\ncost=4\r\n", UsageFigures(None, 4.0)), (b":4\r\n", NO_USAGE)]
+)
+def test_figures_behind_a_value_that_flowed_are_read(told: bytes, usage: UsageFigures) -> None:
+    reader = resp.ReplyReader()
+    assert reader.read(b"*3\r\n$%d\r\n" % (resp.VALUE_MOST + 1)) is None
+    assert reader.flow() is not None
+    reader.more(b"v" * (resp.VALUE_MOST + 1))
+    replies = [reader.read(piece) for piece in cut(b"\r\n" + told + b"$7\r\nqueue=2\r\n", [1, 5, 9])]
+    assert replies[:-1] == [None] * (len(replies) - 1) and replies[-1] is not None
+    result = read_outcome(replies[-1], probe=False)
+    assert (result.usage, result.report) == (usage, {"queue": 2.0})
 
 
 @pytest.mark.parametrize(
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -113,3 +113,42 @@
         back.core.fetched(ticket, io.Outcome.OK, memoryview(b"$2\r\nok\r\n"))
     back.run(1000.0)
     assert [verdict for verdict, _ in client.answers] == [Verdict.SERVED]
+
+
+@pytest.mark.parametrize(
+    ("settled", "told", "taken"),
+    [
+        (True, 2.5, 2.5),
+        (True, 6.0, 6.0),
+        (True, 6.1, 0.0),
+        (True, 0.0, 0.0),
+        (True, -1.0, 0.0),
+        (False, 2.5, 0.0),
+    ],
+)
+def test_true_units_settle_a_request_where_the_settings_say_so(
+    settled: bool, told: float, taken: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    back = Backside(replace(SITE, counter=False, units_settled=settled))
+    ends: list[io.AttemptEnded] = []
+    take = back.core.gateway.take
+
+    def seen(now: float, events: list[io.Event]) -> list[io.Action]:
+        ends.extend(event for event in events if isinstance(event, io.AttemptEnded))
+        return take(now, events)
+
+    monkeypatch.setattr(back.core.gateway, "take", seen)
+    back.true_units, back.used_percent = told, 37.0
+    ask(back, units=4.0)
+    back.run(1000.0)
+    assert [(end.true_units, end.used_percent) for end in ends] == [(taken, 37.0)]
+
+
+def test_an_attempt_that_fails_settles_nothing() -> None:
+    back = Backside(replace(SITE, counter=False, units_settled=True))
+    _, ticket = ask(back, units=1.0)
+    back.run()
+    before = back.core.gateway.mean
+    back.core.fetched(ticket, io.Outcome.ERROR, units=6.0, used_percent=90.0)
+    back.core.turn()
+    assert back.core.gateway.mean == before
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -82,7 +82,7 @@
     stage.wire(used).abortConnection = lambda: None  # the transport closes its socket in a later round
     [other] = {"s0", "s1"} - {name for name, b in pool.backends.items() if b.idle}
     ends: list[str] = []
-    pool.fetch(other, lambda: b"next", lambda outcome, *_: ends.append(outcome.value))
+    pool.fetch(other, lambda: b"next", lambda result: ends.append(result.outcome.value))
     stage.wait(0)
     assert not ends
     name = "backend" + other[1].replace("0", "")
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -7,8 +7,11 @@
 
 import pytest
 from click.testing import CliRunner
+from scenario import call
+from twisted.internet.task import Clock
+from twisted.internet.testing import StringTransport
 
-from scalelb.lab import model, stage
+from scalelb.lab import model, stage, standins
 from scalelb.lab.cli import lab
 from scalelb.lab.experiment import ExperimentError, read_experiment
 from scalelb.lab.report import ReportError, table, write_report
@@ -120,3 +123,22 @@
     bad.write_text("at_ms,customer,plan,class,units\n1,1,basic,fetch-cards,1\n2,zz,basic,fetch-cards,1\n")
     with pytest.raises(ValueError, match=r"evening.csv, line 3"):
         read_evening(bad, ["basic"], ["fetch-cards"], 1)
+
+
+@pytest.mark.parametrize(
+    ("asked", "element"),
+    [
+        ({}, b"$-1\r\n"),
+        ({"true_per_guess": 0.5}, b"$6\r\ncost=2\r\n"),
+        ({"true_per_guess": 0.25, "used_percent": 37}, b"$14\r\nused=37,cost=1\r\n"),
+    ],
+)
+def test_stand_ins_tell_figures_on_use_where_asked_for(asked: dict[str, float], element: bytes) -> None:
+    deck = {"name": "d0", "cores": 1, "speed": 1.0, "room": 1}
+    plan = standins.Plan.read({"decks": [deck], "work_ms": {"fetch-cards": 1.0}, **asked})
+    clock, transport = Clock(), StringTransport()  # type: ignore[no-untyped-call]
+    session = standins.Deck(clock, plan.decks[0], plan).buildProtocol(None)
+    session.makeConnection(transport)  # type: ignore[no-untyped-call]
+    session.rawDataReceived(call(1, units=4).replace("\n", "\r\n").encode())
+    clock.advance(1.0)
+    assert transport.value() == b"*3\r\n$19\r\nd0 0000000000000001\r\n" + element + b"$-1\r\n"  # type: ignore[no-untyped-call]
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -9,6 +9,7 @@
 
 from scalelb.program.__main__ import Program
 from scalelb.program.config import Config, ConfigError
+from scalelb.protocol import resp
 from scalelb.transport.session import SPARE
 
 STORIES = {
@@ -385,7 +386,7 @@
 def test_what_waits_for_a_connection_to_a_backend_that_is_gone_is_not_written() -> None:
     stage = Stage(backends=1)
     ends: list[str] = []
-    stage.loop.pool.fetch("s0", lambda: b"early", lambda outcome, *_: ends.append(outcome.value))
+    stage.loop.pool.fetch("s0", lambda: b"early", lambda result: ends.append(result.outcome.value))
     stage.loop.told(2, True, [{**entry(0), "instanceId": "s9"}])
     assert ends == ["moot"]  # never sent, and nothing is held against the backend
     stage.play("wait 5\n backend closed\n backend silent")
@@ -823,3 +824,18 @@
     stage.wait(600)
     stage.play("client expect -ERR failed")
     stage.play("client2 send {call(2)}\n backend send {SERVED}\n client2 expect $2\\nok")
+
+
+@pytest.mark.parametrize("length", [2, resp.VALUE_MOST + 1], ids=["whole", "flowing"])
+def test_the_units_of_a_guess_that_was_too_high_come_back(length: int) -> None:
+    left = []
+    for told in ("$-1\\n", "$14\\nused=37,cost=1\\n", "$6\\ncost=7\\n"):  # a request has 6 units at most
+        stage = Stage(backends=1, units_settled=True, counter=False)
+        stage.play("client send {call(1, units=6)}\n backend expect CALL.GET")
+        stage.play(f"backend send *3\\n${length}\\n{'v' * length}")
+        stage.play(f"backend send \\n{told}\n backend send $-1\\n")
+        [customer] = stage.loop.core.gateway.customers.values()
+        assert stage.loop.core.tally["served"] == 1 and not stage.loop.core.gateway.attempts
+        left.append(customer.balance)
+    assert left[1] - left[0] == pytest.approx(5.0)
+    assert left[2] == left[0]
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 import pytest
-from processes import PATIENCE, ROOT, SETTINGS, Backend, Limiter, wire
+from processes import PATIENCE, ROOT, SETTINGS, Backend, Limiter, until, wire
 from scenario import call
 
 from scalelb.program.config import ConfigError, read_config, read_fronts, read_peers, read_settings
@@ -220,3 +220,40 @@
 
 def test_the_repositorys_own_links_are_off() -> None:
     assert read_peers({}, "n0") is None
+
+
+ASKED = 12  # requests, one after the other
+GUESSES = {"too high": (4, b"used=5,cost=1"), "too low": (1, b"cost=4,used=90")}
+
+
+@pytest.mark.parametrize(
+    ("guess", "settled", "least", "most"),
+    [
+        ("too high", True, ASKED, ASKED),  # 12 true units of the store's 24
+        ("too high", False, 4, 7),  # 48 units by the guess; some of the store is kept against overdrafts
+        ("too low", True, 4, 7),  # 48 true units
+        ("too low", False, ASKED, ASKED),
+    ],
+)
+def test_a_customer_is_held_to_the_true_units_that_answers_tell(
+    start: Callable[..., Limiter], backend: Backend, guess: str, settled: bool, least: int, most: int
+) -> None:
+    settings = json.loads(json.dumps(SETTINGS))
+    settings["extra"]["cost-after"] = settled
+    settings["tariffs"][0] |= {"units-per-s": 0.001, "most-at-once": 24.0}
+    settings["classes"][0]["aim-ms"] = 4000.0  # for so long, at most, a request waits for credit
+    units, backend.usage = GUESSES[guess]
+    limiter = start(settings=settings)
+    limiter.until("ready")
+    served = 0
+    with limiter.client() as client:
+        while served < ASKED:
+            client.sendall(wire(call(served + 1, wait=60_000, units=units)))
+            answer = until(client, b"\r\n")
+            if answer.startswith(b"-BUSY"):
+                break
+            assert answer.startswith(b"$2")
+            served += 1
+            if not answer.endswith(b"ok\r\n"):
+                until(client, b"ok\r\n")
+    assert least <= served <= most
--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -11,6 +11,7 @@
 import pytest
 
 from scalelb import Gateway, wirehost
+from scalelb.routing import interface
 
 OPTIONS: dict[str, Any] = {
     "balancers": 2,
@@ -141,3 +142,13 @@
     with pytest.raises(wirehost.WireError, match="broke"):
         wirehost.serve(batch(1, *START), output)
     assert json.loads(output.getvalue().splitlines()[0])["BailOut"]["words"] == "RuntimeError: no such thing"
+
+
+@pytest.mark.parametrize(
+    ("told", "used"), [({"usage": 86}, 85.0), ({"usage": 1}, 0.0), ({"usage": 0}, None), ({}, None)]
+)
+def test_use_is_told_without_the_one_that_the_wire_adds(told: dict[str, int], used: float | None) -> None:
+    settled = {"i": 3, "tid": 71, "server": "a", "reason": "done", "complete": True, "final-units": 3}
+    event = wirehost.read_event("Settled", {**settled, **told}, {})
+    assert isinstance(event, interface.AttemptEnded)
+    assert (event.used_percent, event.true_units) == (used, 3)
