Keep the order of arrival where limiters share one bucket on the counter

A shared bucket grants each waiting request its own units; one that is overtaken loses them to a smaller one and what is left covers no other.

Change: `Request.of` ranks by units only where the limiters hold leases of their own.

--- a/scalelb/routing/state.py
+++ b/scalelb/routing/state.py
@@ -51,7 +51,8 @@
         """The record of a request that arrives now (ms), first sent by its client `age_ms` ago.
 
         Among requests of one precedence fewer units go first: the balance covers them sooner, and a unit
-        earns the same whichever request uses it."""
+        earns the same whichever request uses it.  Where limiters share one bucket on the counter, each is
+        granted its own units, and those of one that is overtaken would cover no other."""
         units = e.units or customer.estimate
         return cls(
             ident=e.request,
@@ -60,7 +61,7 @@
             units=units,
             due=now + min(kind.aim_ms - e.held_ms - age_ms, e.expires_in_ms),
             arrived=now,
-            rank=(precedence, -units),
+            rank=(precedence, 0.0 if customer.shared else -units),
             door=1 << e.door,
             key=e.key,
             admission=e.admission,
--- a/tests/test_class_order.py
+++ b/tests/test_class_order.py
@@ -129,3 +129,11 @@
         "extra": {"count-limit-ms": 80.0, "most-units": 8, "shared-counter": True},
         "objective-mix": mix,
     }
+
+
+def test_requests_of_a_shared_bucket_go_in_the_order_of_arrival() -> None:
+    # Guards quotas that many limiters share: with fewest units first 85 of 96 units were used, not 96.
+    drive = Driver(SITE)
+    drive.ask(units=1.0, expires_in_ms=1500.0)
+    drive.gateway.customers["ada"].shared = True
+    assert queue_after(drive, (3.0, 1), (1.0, 0), (2.0, 1)) == [3.0, 1.0, 2.0]
