Name every faulty value of the configuration by its key, one typed reader for each kind

Cause: values that no reader checked, bounds that only a constructor knew, and files or numbers that fail below the reader. Taken without a word: dcs = "abc" as three zones, one name for two classes or plans (requests went by the last, the first could never be asked for), names with spaces, commas or control characters, a host with a line break, memory_mb of 1e308. Change: config_reader has the typed readers and the one way to read a file (the lab's files too); AdmissionQueueSettings raises SettingRangeError, which the configuration maps to the file's key; a ConfigError is one printable line; the log writes any text.

--- a/scalelb/admission_queue/__init__.py
+++ b/scalelb/admission_queue/__init__.py
@@ -13,7 +13,7 @@
     QueuedRequest,
     QuotaBalance,
 )
-from scalelb.admission_queue.settings import AdmissionQueueSettings, FlowKey
+from scalelb.admission_queue.settings import AdmissionQueueSettings, FlowKey, SettingRangeError
 
 __all__ = [
     "AdmissionQueue",
@@ -24,4 +24,5 @@
     "QueueDecision",
     "QueuedRequest",
     "QuotaBalance",
+    "SettingRangeError",
 ]
--- a/scalelb/admission_queue/settings.py
+++ b/scalelb/admission_queue/settings.py
@@ -11,6 +11,15 @@
 MAX_REQUESTS = 1e6
 
 
+class SettingRangeError(ValueError):
+    """A setting is out of its range."""
+
+    def __init__(self, setting: str, reason: str) -> None:
+        super().__init__(f"{setting} {reason}")
+        self.setting = setting
+        self.reason = reason
+
+
 class FlowKey(Enum):
     """What a request's flow is keyed by.  The values are those of the deploy file."""
 
@@ -20,7 +29,7 @@
 
 @dataclass(frozen=True, slots=True)
 class AdmissionQueueSettings:
-    """All settings of one admission queue.  Raises `ValueError`, which names the setting, out of range."""
+    """All settings of one admission queue.  Raises `SettingRangeError` where one is out of range."""
 
     flows: FlowKey = FlowKey.TENANT
     weights: tuple[float, ...] = ()  # by plan; empty: the plan's rate over the mean rate, 1 without a rate
@@ -42,17 +51,27 @@
             value = getattr(self, name)
             is_allowed_zero = value == 0 and name.endswith("_ms")
             if not (isfinite(value) and (value > 0 or is_allowed_zero)):
-                raise ValueError(f"{name} must be a finite number above 0, not {value!r}")
+                raise SettingRangeError(name, f"must be a finite number above 0, not {value!r}")
         for name in ("held_most", "waiting_most", "promises_most"):
             if getattr(self, name) < 1:
-                raise ValueError(f"{name} must be at least 1, not {getattr(self, name)!r}")
-        if not MIN_TOLERANCE <= self.tolerance < MAX_TOLERANCE:
-            raise ValueError(f"tolerance must be at least 0.5 and under 10, not {self.tolerance!r}")
-        if not self.least_requests <= self.start_requests <= self.most_requests < MAX_REQUESTS:
-            raise ValueError("start_requests must lie between least_requests and most_requests")
-        for plan_index, weight in enumerate(self.weights):
+                raise SettingRangeError(name, f"must be at least 1, not {getattr(self, name)!r}")
+        for weight in self.weights:
             if not (isfinite(weight) and weight > 0):
-                raise ValueError(f"weights[{plan_index}] must be a finite number above 0, not {weight!r}")
+                raise SettingRangeError("weights", f"must be finite numbers above 0, not {weight!r}")
+        self._check_concurrency_limit()
+
+    def _check_concurrency_limit(self) -> None:
+        if not self.tolerance >= MIN_TOLERANCE:
+            reason = f"must be at least {MIN_TOLERANCE:g}, not {self.tolerance!r}"
+            raise SettingRangeError("tolerance", reason)
+        if not self.tolerance < MAX_TOLERANCE:
+            raise SettingRangeError("tolerance", f"must be under {MAX_TOLERANCE:g}, not {self.tolerance!r}")
+        if not self.most_requests < MAX_REQUESTS:
+            reason = f"must be under {MAX_REQUESTS:g}, not {self.most_requests!r}"
+            raise SettingRangeError("most_requests", reason)
+        if not self.least_requests <= self.start_requests <= self.most_requests:
+            reason = f"must lie between least_requests and most_requests, not {self.start_requests!r}"
+            raise SettingRangeError("start_requests", reason)
 
     def plan_weight(self, plan_index: int) -> float:
         """The weight of a plan's tenants: the setting, or else the plan's rate over the mean rate."""
--- a/scalelb/lab/experiment.py
+++ b/scalelb/lab/experiment.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import tomllib
 from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
 from math import inf
@@ -16,7 +15,8 @@
 from scalelb.admission_queue import AdmissionQueueSettings
 from scalelb.lab.traffic import Arrival, Clients, EveningError, Tenant, draw, read_evening
 from scalelb.policy.settings import Settings
-from scalelb.program.config import ConfigError, Node, read_admission_queue, read_settings
+from scalelb.program.config import read_admission_queue, read_settings
+from scalelb.program.config_reader import ConfigError, Node, read_toml
 
 SECONDS_MOST, SERVERS_MOST, LIMITERS_MOST, VARIANTS_MOST = 3600, 500, 50, 64
 ARRIVALS_MOST = 2_000_000
@@ -136,13 +136,7 @@
 def read_experiment(path: Path) -> Experiment:
     """Read and check an experiment's file.  Raises `ExperimentError` naming file, key and reason."""
     try:
-        options = tomllib.loads(path.read_text())
-    except (OSError, UnicodeDecodeError) as error:
-        raise ExperimentError(f"{path}: {getattr(error, 'strerror', None) or error}") from None
-    except tomllib.TOMLDecodeError as error:
-        raise ExperimentError(f"{path}: not TOML: {error}") from None
-    try:
-        experiment = _read(options, path)
+        experiment = _read(read_toml(path), path)
         for variant in experiment.variants:  # whatever the program itself would refuse is refused now
             experiment.settings(variant)
             experiment.door_settings(variant)
--- a/scalelb/lab/schedule.py
+++ b/scalelb/lab/schedule.py
@@ -13,13 +13,12 @@
 from __future__ import annotations
 
 import random
-import tomllib
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
 from scalelb.lab.experiment import ExperimentError
-from scalelb.program.config import ConfigError, Node
+from scalelb.program.config_reader import ConfigError, Node, read_toml
 
 WAITS = ("log", "answers", "messages")
 OF_ONE = ("kill", "stall", "wake", "start")
@@ -70,8 +69,8 @@
 def read_schedule(path: Path) -> Schedule:
     """Read and check a schedule; raises `ExperimentError` with file and key."""
     try:
-        return _read(Node(tomllib.loads(path.read_text()), ""), path)
-    except (OSError, tomllib.TOMLDecodeError, ConfigError) as error:
+        return _read(Node(read_toml(path), ""), path)
+    except ConfigError as error:
         raise ExperimentError(f"{path}: {error}") from None
 
 
--- a/scalelb/program/config.py
+++ b/scalelb/program/config.py
@@ -7,112 +7,41 @@
 
 import os
 import socket
-import tomllib
 from collections.abc import Mapping
 from dataclasses import dataclass, field, fields
-from enum import Enum
-from math import inf, isfinite
+from math import inf
 from pathlib import Path
-from typing import Any, TypeVar
+from typing import Any
 
-import orjson
-
-from scalelb.admission_queue import AdmissionQueueSettings, FlowKey
+from scalelb.admission_queue import AdmissionQueueSettings, FlowKey, SettingRangeError
 from scalelb.policy.endpoints import Endpoint, EndpointState
 from scalelb.policy.settings import DeduplicationScope, Idempotency, Objective, Plan, RequestClass, Settings
+from scalelb.program.config_reader import ConfigError as ConfigError
+from scalelb.program.config_reader import ConfigFileMissingError, Node, is_name, read_json, read_toml, shown
 
-E = TypeVar("E", bound=Enum)
 STATES = {"ready": EndpointState.SERVING, "draining": EndpointState.DRAINING, "gone": EndpointState.REMOVED}
 PROGRAM_MB = 30.0  # that the program takes with nothing to do, and some
 DEPLOY = Path(__file__).parent.parent.parent / "deploy"
 FRONTS, FAIRNESS, PEERS = DEPLOY / "fronts.toml", DEPLOY / "fairness.toml", DEPLOY / "peers.toml"
 MEMBERS_MOST = 512
-
-
-class ConfigError(Exception):
-    """A faulty configuration; the message names the key."""
-
-
-class Node:
-    """An object of the configuration and the path to it, for messages."""
-
-    def __init__(self, value: Any, path: str) -> None:
-        if not isinstance(value, dict):
-            raise ConfigError(f"{path or 'configuration'}: must be an object")
-        self.value, self.path = value, path
-
-    def at(self, key: str) -> str:
-        """The path of a key."""
-        return f"{self.path}.{key}" if self.path else key
-
-    def get(self, key: str, default: Any = None) -> Any:
-        """A value; missing without a default is a fault."""
-        if key in self.value:
-            return self.value[key]
-        if default is None:
-            raise ConfigError(f"{self.at(key)}: missing field")
-        return default
-
-    def number(
-        self, key: str, least: float = 0.0, default: float | None = None, above: bool = False
-    ) -> float:
-        """A finite number, from `least` on or above it."""
-        value = self.get(key, default)
-        if isinstance(value, bool) or not isinstance(value, int | float) or not isfinite(value):
-            raise ConfigError(f"{self.at(key)}: must be a number, not {value!r}")
-        if value < least or (above and value == least):
-            bound = f"{'above' if above else 'at least'} {least:g}"
-            raise ConfigError(f"{self.at(key)}: must be {bound}, not {value!r}")
-        return float(value)
-
-    def whole(self, key: str, least: int = 0, default: int | None = None) -> int:
-        """A whole number."""
-        value = self.number(key, least, default)
-        if value != int(value):
-            raise ConfigError(f"{self.at(key)}: must be a whole number, not {value!r}")
-        return int(value)
-
-    def flag(self, key: str, default: bool | None = None) -> bool:
-        """True or false."""
-        value = self.get(key, default)
-        if not isinstance(value, bool):
-            raise ConfigError(f"{self.at(key)}: must be true or false, not {value!r}")
-        return value
-
-    def text(self, key: str, default: str | None = None) -> str:
-        """A text."""
-        value = self.get(key, default)
-        if not isinstance(value, str):
-            raise ConfigError(f"{self.at(key)}: must be a text, not {value!r}")
-        return value
-
-    def choice(self, key: str, kind: type[E]) -> E:
-        """One of the values of an enumeration."""
-        value = self.text(key)
-        try:
-            return kind(value)
-        except ValueError:
-            some = ", ".join(str(one.value) for one in kind)
-            raise ConfigError(f"{self.at(key)}: must be one of {some}, not {value!r}") from None
-
-    def node(self, key: str, default: dict[str, Any] | None = None) -> Node:
-        """An object inside."""
-        return Node(self.get(key, default), self.at(key))
-
-    def nodes(self, key: str, least: int = 0) -> list[Node]:
-        """A list of objects inside."""
-        value = self.get(key)
-        if not isinstance(value, list) or len(value) < least:
-            raise ConfigError(f"{self.at(key)}: must be a list of {least} objects or more")
-        return [Node(item, f"{self.at(key)}[{place}]") for place, item in enumerate(value)]
-
-    def address(self, key: str, default: str | None = None) -> str:
-        """`host:port`, or nothing where that is the default."""
-        value = self.text(key, default)
-        host, _, port = value.rpartition(":")
-        if value != default and not (host and port.isdigit() and 0 <= int(port) < 65536):
-            raise ConfigError(f"{self.at(key)}: must be host:port, not {value!r}")
-        return value
+MAX_SOCKETS = 2**31 - 1
+MAX_MEMORY_MB = 1e9
+VALUE_SEPARATOR = ","  # of the list of values in a request, which names class and plan
+
+# The admission queue's settings by the keys of `deploy/fairness.toml`.
+QUEUE_KEYS = {
+    "weights": "weights",
+    "stranger_weight": "weights.strangers",
+    "held_most": "door.held",
+    "waiting_most": "door.waiting",
+    "grace_ms": "promises.grace_ms",
+    "early_ms": "promises.early_ms",
+    "promises_most": "promises.most",
+    "start_requests": "limit.start_requests",
+    "least_requests": "limit.least_requests",
+    "most_requests": "limit.most_requests",
+    "tolerance": "limit.tolerance",
+}
 
 
 def read_settings(options: Any, path: str = "options") -> Settings:
@@ -266,7 +195,7 @@
     path = environment.get("EDGE_CONFIG", "")
     if not path:
         raise ConfigError("EDGE_CONFIG: missing; it names the configuration file")
-    top = Node(_load(path), "")
+    top = Node(_load_json(Path(path), "EDGE_CONFIG"), "")
     told = {"name": "EDGE_NAME", "listen": "EDGE_LISTEN", "discovery": "EDGE_DISCOVERY"}
     told["admin"] = "EDGE_ADMIN"
     for key, variable in told.items():
@@ -282,33 +211,47 @@
     try:
         number = int(seed, 16)
     except ValueError:
-        raise ConfigError(f"seed: must be a hex number, not {seed!r}") from None
+        raise ConfigError(f"seed: must be a hex number, not {shown(seed)}") from None
+    name = top.name("name", "limiter")
+    plans = _read_names(settings, "tariffs")
+    limits_of_program = top.node("limits", {})
     return Config(
-        name=top.text("name", "limiter"),
+        name=name,
         listen=top.address("listen"),
         director=top.address("discovery"),
         counter=top.address("counter") if parsed.has_counter else "",
         seed=number,
-        sockets=top.node("limits", {}).whole("sockets", 64, 1024),
-        memory_mb=top.node("limits", {}).number("memory_mb", 16.0, 192.0),
+        sockets=limits_of_program.whole("sockets", 64, 1024, most=MAX_SOCKETS),
+        memory_mb=limits_of_program.number("memory_mb", 16.0, 192.0, most=MAX_MEMORY_MB),
         settings=parsed,
-        kinds=tuple(c.text("name") for c in settings.nodes("classes")),
-        plans=tuple(t.text("name") for t in settings.nodes("tariffs")),
-        zones=tuple(str(zone) for zone in settings.get("dcs", [])),
+        kinds=_read_names(settings, "classes"),
+        plans=plans,
+        zones=settings.texts("dcs", []),
         generation=known.whole("generation", 0, 0) if entries else None,
         known=entries,
         connect_timeout_ms=limits.number("connect-timeout-ms", 1.0, 250.0),
         conn_idle_ms=limits.number("conn-idle-ms", 1.0, 30_000.0),
         requests_most=limits.whole("max-open", 1, 4096),
         fronts=read_fronts(environment),
-        fairness=read_fairness(environment, parsed, tuple(t.text("name") for t in settings.nodes("tariffs"))),
-        peers=read_peers(environment, top.text("name", "limiter")),
+        fairness=read_fairness(environment, parsed, plans),
+        peers=read_peers(environment, name),
         admin=admin,
         inherited=inherited,
         shared=environment.get("TMPDIR", "") if admin or inherited is not None else "",
     )
 
 
+def _read_names(settings: Node, key: str) -> tuple[str, ...]:
+    """The names of classes or plans.  Requests go by them, so each can stand only once."""
+    place_of: dict[str, str] = {}
+    for node in settings.nodes(key):
+        name = node.name("name", separators=VALUE_SEPARATOR)
+        if name in place_of:
+            raise ConfigError(f"{node.at('name')}: {shown(name)} is the name of {place_of[name]} already")
+        place_of[name] = node.path
+    return tuple(place_of)
+
+
 def read_inherited(environment: Mapping[str, str]) -> int | None:
     """The descriptor of the clients' listening socket, where the platform hands it over."""
     told = environment.get("EDGE_FD", "")
@@ -323,7 +266,7 @@
             if not heir.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
                 raise ValueError("must be a socket that listens")
     except (OSError, ValueError, OverflowError) as error:
-        raise ConfigError(f"EDGE_FD: {error}, not {told!r}") from None
+        raise ConfigError(f"EDGE_FD: {error}, not {shown(told)}") from None
     return int(told)
 
 
@@ -343,13 +286,22 @@
     return moved, sorted({names.get(name, name) for name in differ if name not in follows | skipped})
 
 
-def _load(path: str) -> Any:
+def _load_json(path: Path, variable: str) -> Any:
+    try:
+        return read_json(path)
+    except ConfigError as error:
+        raise ConfigError(f"{variable}: {path}: {error}") from None
+
+
+def _load_toml(environment: Mapping[str, str], variable: str, usual: Path) -> Any:
+    """The file that a variable names, or else the usual one; an empty object where that does not exist."""
+    path = Path(environment.get(variable, "") or usual)
     try:
-        return orjson.loads(Path(path).read_bytes())
-    except OSError as error:
-        raise ConfigError(f"EDGE_CONFIG: {path}: {error.strerror}") from None
-    except orjson.JSONDecodeError as error:
-        raise ConfigError(f"EDGE_CONFIG: {path}: not JSON: {error}") from None
+        return read_toml(path)
+    except ConfigError as error:
+        if isinstance(error, ConfigFileMissingError) and variable not in environment:
+            return {}
+        raise ConfigError(f"{variable}: {path}: {error}") from None
 
 
 def read_admission_queue(
@@ -372,8 +324,7 @@
     promises, limit = top.node("promises", {}), top.node("limit", {})
     rates = tuple(plan.rate_per_s for plan in settings.plans)
     usual = AdmissionQueueSettings(plan_rates=rates)
-    _check_limit(limit, usual)
-    read = AdmissionQueueSettings(
+    read = _admission_queue_settings(
         flows=door.choice("flows", FlowKey) if "flows" in door.value else usual.flows,
         weights=tuple(
             weights.number(name, 0.0, usual.plan_weight(plan_index), above=True)
@@ -395,24 +346,18 @@
     return read if door.flag("on", False) else None
 
 
-def _check_limit(limit: Node, usual: AdmissionQueueSettings) -> None:
-    keys = ("least_requests", "start_requests", "most_requests")
-    least, start, most = (limit.number(key, 0.0, getattr(usual, key)) for key in keys)
-    if not least <= start <= most:
-        where = limit.at("start_requests")
-        raise ConfigError(f"{where}: must lie between least_requests and most_requests, not {start:g}")
-    if (tolerance := limit.number("tolerance", 0.5, usual.tolerance)) >= 10:
-        raise ConfigError(f"{limit.at('tolerance')}: must be under 10, not {tolerance:g}")
+def _admission_queue_settings(**values: Any) -> AdmissionQueueSettings:
+    try:
+        return AdmissionQueueSettings(**values)
+    except SettingRangeError as error:
+        raise ConfigError(f"{QUEUE_KEYS[error.setting]}: {error.reason}") from None
 
 
 def read_fairness(
     environment: Mapping[str, str], settings: Settings, plans: tuple[str, ...]
 ) -> AdmissionQueueSettings | None:
     """Read the admission queue's file; without one there is no admission queue."""
-    path = Path(environment.get("SCALELB_FAIRNESS", "") or FAIRNESS)
-    if not path.exists() and "SCALELB_FAIRNESS" not in environment:
-        return None
-    return read_admission_queue(_load_toml(path, "SCALELB_FAIRNESS"), settings, plans)
+    return read_admission_queue(_load_toml(environment, "SCALELB_FAIRNESS", FAIRNESS), settings, plans)
 
 
 def read_link(options: Any, name: str) -> PeerSettings | None:
@@ -426,10 +371,13 @@
     members = top.node("members")
     if not 2 <= len(members.value) <= MEMBERS_MOST:
         raise ConfigError(f"members: must be 2 to {MEMBERS_MOST}, not {len(members.value)}")
+    for member in members.value:
+        if not is_name(member):
+            raise ConfigError(f"members: a name must be printable and without spaces, not {shown(member)}")
     if name not in members.value:
         raise ConfigError(f"members: must hold this limiter's own name, {name!r}")
     if top.text("bans", "own") not in ("own", "fleet"):
-        raise ConfigError(f"bans: must be one of own, fleet, not {top.text('bans')!r}")
+        raise ConfigError(f"bans: must be one of own, fleet, not {shown(top.text('bans'))}")
     tick, beat = top.number("tick_ms", 10.0, 100.0), top.number("beat_ms", 10.0, 500.0)
     suspect = top.number("suspect_ms", 10.0, 1500.0)
     if not tick <= beat or not 2 * beat <= suspect:
@@ -447,27 +395,12 @@
 
 def read_peers(environment: Mapping[str, str], name: str) -> PeerSettings | None:
     """Read the links' file; without one there are none."""
-    path = Path(environment.get("SCALELB_PEERS", "") or PEERS)
-    if not path.exists() and "SCALELB_PEERS" not in environment:
-        return None
-    return read_link(_load_toml(path, "SCALELB_PEERS"), name)
-
-
-def _load_toml(path: Path, variable: str) -> Any:
-    try:
-        return tomllib.loads(path.read_text())
-    except OSError as error:
-        raise ConfigError(f"{variable}: {path}: {error.strerror}") from None
-    except tomllib.TOMLDecodeError as error:
-        raise ConfigError(f"{path.name}: not TOML: {error}") from None
+    return read_link(_load_toml(environment, "SCALELB_PEERS", PEERS), name)
 
 
 def read_fronts(environment: Mapping[str, str] = os.environ) -> Fronts:
     """Read the fronts' file; without one, only the platform's door is open."""
-    path = Path(environment.get("SCALELB_FRONTS", "") or FRONTS)
-    if not path.exists() and "SCALELB_FRONTS" not in environment:
-        return Fronts()
-    top = Node(_load_toml(path, "SCALELB_FRONTS"), "")
+    top = Node(_load_toml(environment, "SCALELB_FRONTS", FRONTS), "")
     found = {}
     for key in Fronts.__slots__:
         found[key] = top.node(key, {"listen": ""}).address("listen", "")
--- a/scalelb/program/log.py
+++ b/scalelb/program/log.py
@@ -19,13 +19,18 @@
     try:
         data = orjson.dumps(line, default=str, option=orjson.OPT_APPEND_NEWLINE)
     except TypeError:  # guards the program: a value that JSON has no form for is logged as text
-        data = orjson.dumps({name: str(value) for name, value in line.items()}) + b"\n"
+        data = orjson.dumps({name: _as_utf8(value) for name, value in line.items()}) + b"\n"
     try:
         os.write(FD, data)
     except OSError:  # guards the program against a log that is full or closed
         return
 
 
+def _as_utf8(value: Any) -> str:
+    """A value as text, with an escape for whatever UTF-8 has no form for, as in a path of other bytes."""
+    return str(value).encode("utf-8", "backslashreplace").decode()
+
+
 class Bounded:
     """A log that others cannot fill: at most so many lines of one event in a second.  The next line of it
     says how many were left out."""
