Report an attempt that was not sent by its own number, so that it leaves the decisions' count

Seen: after an attempt had failed and its client had left in the same turn, the decisions kept the retry as in flight for good: it took a place of the concurrency limit, of the tenant's cap and of the endpoint's load until the next start. Callers of such a limiter see ever more refusals. Found while the containing of faults was tested. Cause: the core, which has no such request any more, reported the retry as not sent under attempt number 0; the decisions know it as 1. Change: SendAttempt carries the number, the core takes it over.

Evidence: test_a_retry_decided_as_its_client_leaves_counts_as_in_flight_no_longer fails twice on the commit before (attempts holds (1, 1)) and passes now.

--- a/scalelb/core/lifecycle.py
+++ b/scalelb/core/lifecycle.py
@@ -332,10 +332,11 @@
     def _send_attempt(self, action: SendAttempt, now: float) -> None:
         request = self.open_requests.get(action.request_id)
         if request is None or request.in_flight:  # ended while the decisions were made: it is not sent
-            not_sent = AttemptEnded(action.request_id, 0, action.endpoint, Outcome.NOT_SENT, 0.0, True)
+            number = action.attempt_number
+            not_sent = AttemptEnded(action.request_id, number, action.endpoint, Outcome.NOT_SENT, 0.0, True)
             self.inbox.append(not_sent)
             return
-        request.attempt_number += 1
+        request.attempt_number = action.attempt_number
         request.endpoint = action.endpoint
         request.sent_at = now
         request.begin_before = now + action.must_begin_within_ms
--- a/scalelb/policy/actions.py
+++ b/scalelb/policy/actions.py
@@ -11,6 +11,7 @@
     """Forward the request to an endpoint; its attempts are numbered from 0."""
 
     request_id: int
+    attempt_number: int
     endpoint: str
     timeout_ms: float = 0.0  # 0: until the client's deadline
     must_begin_within_ms: float = inf  # its first byte is written within this time, or never
--- a/scalelb/policy/attempt_sender.py
+++ b/scalelb/policy/attempt_sender.py
@@ -80,9 +80,10 @@
         name = tracked.endpoint.name
         timeout_ms = self.retries.attempt_timeout_ms(request, now, self.estimates.latency_ms)
         must_begin_within_ms = request.must_retry_before - now
-        self.outbox.add(SendAttempt(request.request_id, name, timeout_ms, must_begin_within_ms))
+        number = request.attempts_sent
+        self.outbox.add(SendAttempt(request.request_id, number, name, timeout_ms, must_begin_within_ms))
         attempt = Attempt(request, tracked, request.units / self.estimates.units, now)
-        self.attempts[request.request_id, request.attempts_sent] = attempt
+        self.attempts[request.request_id, number] = attempt
         request.attempts_sent += 1
         request.last_endpoint = name
         request.tenant.attempts_in_flight += 1
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -77,6 +77,25 @@
     assert not client.answers
 
 
+@pytest.mark.parametrize("cancels_attempts", [False, True])
+def test_a_retry_decided_as_its_client_leaves_counts_as_in_flight_no_longer(cancels_attempts: bool) -> None:
+    # Its end was reported as that of the first attempt: tenant, endpoint and limiter took the retry for in
+    # flight for good, and each such client took away a part of the concurrency limit.
+    back = Backside(replace(SITE, has_counter=False, cancels_attempts=cancels_attempts))
+    client, request = ask(back)
+    back.run()
+    back.due.clear()
+    back.core.attempt_ended(request, Outcome.CONNECT_FAILED)
+    back.core.cancel(request)
+    back.run(1000.0)
+    limiter = back.core.limiter
+    [tenant] = limiter.tenants.tenants.values()
+    assert not client.answers
+    assert not limiter.attempts
+    assert tenant.attempts_in_flight == 0
+    assert sum(tracked.load_in_flight for tracked in limiter.selector.endpoints.values()) == 0
+
+
 def test_a_deadline_with_an_attempt_out_is_answered_before_it() -> None:
     back = Backside(replace(SITE, has_counter=False))
     client, request = ask(back, class_index=1, expires_in_ms=3000.0)
