Let house-keeping go on after a fault in it, and end a session that fails by itself

After one exception idle and silent sessions were never ended again, until clients found no room. At the end of the program a session that raised kept all the others open, and the process until SIGKILL. Change: the next round is asked for whatever happens; the door takes each session by itself, logs the fault and ends that session.

--- a/scalelb/program/__main__.py
+++ b/scalelb/program/__main__.py
@@ -310,15 +310,18 @@
             self.reactor.stop()
 
     def sweep(self) -> None:
-        """House-keeping, again and again."""
-        self.loop.sweep()
-        self.door.sweep()
-        if self.incarnation is not None:
-            self.merge_overrides()
-        self.reactor.callLater(SWEEP_FULL_S if self.door.full else SWEEP_S, self.sweep)
+        """House-keeping, again and again, also after a fault in it."""
+        try:
+            self.loop.sweep()
+            self.door.sweep()
+            if self.incarnation is not None:
+                self.merge_overrides()
+        finally:
+            self.reactor.callLater(SWEEP_FULL_S if self.door.full else SWEEP_S, self.sweep)
 
     def tell(self) -> None:
-        """Log what was done lately."""
+        """Log what was done lately, again and again."""
+        self.reactor.callLater(TALLY_S, self.tell)
         used = resource.getrusage(resource.RUSAGE_SELF)
         cpu = used.ru_utime + used.ru_stime
         core, limiter = self.loop.core, self.loop.core.limiter
@@ -342,7 +345,6 @@
             **({"admin": {str(s): n for s, n in self.admin.calls.items()}} if self.admin is not None else {}),
         )
         self.cpu = cpu
-        self.reactor.callLater(TALLY_S, self.tell)
 
     def reload(self) -> None:
         """SIGHUP: read the configuration anew.  All of it is checked before anything is changed; a faulty
--- a/scalelb/program/peer_connections.py
+++ b/scalelb/program/peer_connections.py
@@ -67,6 +67,7 @@
         """Dial the links that are due and send what is due, again and again."""
         if self.links.closing:
             return
+        self.reactor.callLater(self.replicator.settings.push_ms / 1000, self.tick)
         started_s = time.thread_time()
         self.ticks += 1
         if self.ticks % TICKS_PER_SWEEP == 0:
@@ -77,7 +78,6 @@
         for name, message in self.peering.tick(self.now(), self.links.ready):
             self.links.send(name, message)
         self.cpu_s += time.thread_time() - started_s
-        self.reactor.callLater(self.replicator.settings.push_ms / 1000, self.tick)
 
     def flush(self) -> None:
         """Send own writes now."""
--- a/scalelb/transport/session.py
+++ b/scalelb/transport/session.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import traceback
 from collections import deque
 from collections.abc import Callable
 from typing import Any, Protocol
@@ -407,7 +408,7 @@
         share = sum(s.heard and not s.ended for s in self.sessions) / self.clients_most
         many = min(1.0, max(0.0, (share - FEW) / (MANY - FEW)))
         idle_ms = IDLE_MS + many * (IDLE_LEAST_MS - IDLE_MS)
-        ended = sum(session.overdue(now, idle_ms) for session in list(self.sessions))
+        ended = self._with_each(lambda session: session.overdue(now, idle_ms))
         if count - ended > CROWDED * self.sessions_most:
             room = CROWDED if self.full else ROOMY
             self.make_room(int(count - ended - room * self.sessions_most))
@@ -483,9 +484,24 @@
         """Again and again while the door closes: end what owes nothing, and what has ended its sending.  One
         that has just connected is about to ask."""
         now = self.clock()
+        self._with_each(lambda session: self._shut_one(session, now))
+
+    @staticmethod
+    def _shut_one(session: ClientSession, now: float) -> None:
+        fresh = not session.heard and now - session.since < FRESH_MS[0]
+        if session.leaving:
+            session.overdue(now, 0.0)
+        elif not fresh and session.idle():
+            session.part()
+
+    def _with_each(self, step: Callable[[ClientSession], bool | None]) -> int:
+        """Take a step with every session; returns how often it was true.  A session with which something
+        fails is ended, so that all others are looked after and the program can end."""
+        count = 0
         for session in list(self.sessions):
-            fresh = not session.heard and now - session.since < FRESH_MS[0]
-            if session.leaving:
-                session.overdue(now, 0.0)
-            elif not fresh and session.idle():
-                session.part()
+            try:
+                count += bool(step(session))
+            except Exception as error:
+                self.log("fault", level="error", what="".join(traceback.format_exception(error)))
+                session.abort()
+        return count
