Let a successor bind the links' address once its predecessor is relieved

Cause: only the clients' socket is handed over; both processes listened for peers at one address. Evidence: test_a_successor_takes_over_the_links_of_its_predecessor fails on the commit before and passes now.

--- a/scalelb/program/__main__.py
+++ b/scalelb/program/__main__.py
@@ -110,7 +110,7 @@
         else:
             self.accept()
         if self.links is not None:
-            self.ports["peers"] = self.links.listen()
+            self.listen_for_peers()
         if self.config.admin:
             host, port = host_port(self.config.admin)
             self.admin = AdminDoor(self.reactor, self, self.log)
@@ -126,6 +126,16 @@
         bound = door.getHost().port if door is not None else None
         self.log("started", name=self.config.name, port=bound, fronts=told)
 
+    def listen_for_peers(self) -> None:
+        """Let peers come, once a predecessor that runs has left the address to this incarnation."""
+        assert self.links is not None
+        try:
+            self.ports["peers"] = self.links.listen()
+        except CannotListenError:
+            if self.incarnation is None or not self.incarnation.predecessor_is_running():
+                raise
+            self.reactor.callLater(TAKE_OVER_LOOK_S, self.listen_for_peers)
+
     def accept(self) -> None:
         """Let clients come: on the platform's socket where it has handed one over, else on one of our own."""
         heir = self.config.inherited
@@ -189,6 +199,8 @@
         self.loop.core.turn()
         account = leave_handover(self.loop.core.limiter, self.loop.clock())
         self.incarnation.hand_over(account)
+        if self.links is not None:
+            self.links.stop()  # the successor binds its address
         self.loop.pool.rest_no_longer()
         self.halve()
         self.log("relieved", customers=len(account["customers"]), open=len(self.loop.core.open_requests))
--- a/scalelb/program/peer_connections.py
+++ b/scalelb/program/peer_connections.py
@@ -47,6 +47,7 @@
         self.links = PeerLinks(
             self.reactor, name, others, log, self.joined, self.left, self.message
         )  # fmt: skip
+        self.port: Any = None
         self.ticks = 0
         self.digest = ""  # at the newest look
         self.logged_digest = ""
@@ -59,9 +60,9 @@
     def listen(self) -> Any:
         """Let peers come, and begin."""
         host, port = host_port(self.settings.listen)
-        bound = self.reactor.listenTCP(port, self.links, BACKLOG, host)
+        self.port = self.reactor.listenTCP(port, self.links, BACKLOG, host)
         self.tick()
-        return bound
+        return self.port
 
     def tick(self) -> None:
         """Dial the links that are due and send what is due, again and again."""
@@ -126,5 +127,8 @@
         return {"peers": {**self.peering.status(self.now()), **told}}
 
     def stop(self) -> None:
-        """End all links."""
+        """End all links, and leave the address to others."""
         self.links.stop()
+        if self.port is not None:
+            self.port.stopListening()
+            self.port = None
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -83,6 +83,29 @@
     assert admin(new, "GET", "/stats")[1]["responses"]["fetch-cards"]["ok"] == 1
 
 
+def test_a_successor_takes_over_the_links_of_its_predecessor(
+    start: Start, heir: socket.socket, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Seen in the soak: the successor could not bind the links' address, which its predecessor held, and ended
+    # with status 2.
+    with socket.create_server(("127.101.0.1", 0)) as free:  # where nobody dials from
+        address = f"127.101.0.1:{free.getsockname()[1]}"
+    links = f'on = true\nlisten = "{address}"\n[members]\nn0 = "{address}"\nn1 = "127.101.0.2:9"\n'
+    (tmp_path / "peers.toml").write_text(links)
+    monkeypatch.setenv("SCALELB_PEERS", str(tmp_path / "peers.toml"))
+    old = begin(start, heir)
+    old.until("ready")
+    new = begin(start, heir)
+    new.until("ready")
+    old.process.send_signal(signal.SIGTERM)
+    assert new.until("taken over")["told"] is True
+    new.until("recalled")  # its links are up: it has settled
+    with ask(heir, 1) as client:
+        assert answered(client) == ANSWER
+    assert old.process.wait(PATIENCE) == 0
+    assert new.process.poll() is None
+
+
 def test_no_request_is_turned_back_through_five_upgrades_under_load(
     start: Start, heir: socket.socket
 ) -> None:
