Ignore SIGTERM and SIGHUP once the loop has ended

Cause: the interpreter puts back the usual handlers of signals that Python handles before it ends. Ignored signals stay ignored.

--- a/scalelb/program/__main__.py
+++ b/scalelb/program/__main__.py
@@ -467,6 +467,8 @@
     gc.collect()
     gc.freeze()  # what is there now stays: it need not be looked through again
     run.run()
+    for number in (signal.SIGTERM, signal.SIGHUP):
+        signal.signal(number, signal.SIG_IGN)  # the interpreter's end would take one for its own
     return program.status_code
 
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -7,6 +7,7 @@
 import signal
 import subprocess
 import sys
+import time
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -55,6 +56,18 @@
     assert limiter.process.wait(PATIENCE) == 0
 
 
+def test_signals_up_to_the_very_end_leave_the_status_0(start: Callable[..., Limiter]) -> None:
+    # Seen in the soak: the interpreter puts the usual handlers back before it ends, and a further SIGTERM in
+    # that moment ended the process with status -15.
+    limiter = start()
+    limiter.until("ready")
+    while limiter.process.poll() is None:
+        for number in (signal.SIGTERM, signal.SIGHUP):
+            limiter.process.send_signal(number)
+        time.sleep(0.001)
+    assert limiter.process.returncode == 0
+
+
 def test_sighup_reads_the_file_anew_twice_and_sigterm_still_ends_it(
     start: Callable[..., Limiter], backend: Backend, tmp_path: Path
 ) -> None:
