Soak of the endings: real limiters whose clients go on until the kill

A seed draws one to three limiters (with links where there are more), clients that send singly, pipelined, in pieces or leave; hanging and resetting backends, a silent counter or director, a crowd of 250 near the descriptors' limit; signals in series, SIGTERM before ready, SIGKILL outright, a successor on an inherited socket. It uses the stand-ins (which now also hang, reset and keep the director silent) and the checkers there are; new rules read the limiter's own last line (`stopped` tells open, attempts, counts), the backends' sight of each request and the order of events. An end waits until the decisions have heard of every attempt, or the line would count those.

--- a/scalelb/lab/cli.py
+++ b/scalelb/lab/cli.py
@@ -5,6 +5,7 @@
 import re
 import subprocess
 import sys
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import Any
 
@@ -105,6 +106,39 @@
         raise click.ClickException(f"seed {seed}: {'; '.join(broken[:5])}")
 
 
+@lab.command()
+@click.option("--seeds", type=click.IntRange(1, 10_000), default=50, help="So many seeds.")
+@click.option("--first", type=click.IntRange(1, 2**31 - 1), default=1, help="The first of them.")
+@click.option("--seed", type=click.IntRange(1, 2**31 - 1), default=None, help="This seed alone.")
+@click.option("--jobs", type=click.IntRange(1, 8), default=1, help="So many runs side by side.")
+@click.option("--slack", type=click.FloatRange(0, 30), default=0.0, help="Seconds that kills come later.")
+@click.option("--out", type=click.Path(path_type=Path, file_okay=False), required=True, help="For results.")
+def soak(seeds: int, first: int, seed: int | None, jobs: int, slack: float, out: Path) -> None:
+    """End real limiters in many ways while their clients go on, and check that each request is answered."""
+    chosen = range(first, first + seeds) if seed is None else range(seed, seed + 1)
+    with ThreadPoolExecutor(jobs) as pool:
+        found = list(pool.map(lambda one: _soak_one(one, out, slack), chosen))
+    failed = {one: broken for one, broken in zip(chosen, found, strict=True) if broken}
+    for one, broken in failed.items():
+        click.echo(f"seed {one}: {len(broken)} broken; {'; '.join(broken[:3])}")
+        click.echo(f"  again: python -m scalelb lab soak --seed {one} --out {out}")
+    click.echo(f"{len(chosen) - len(failed)} of {len(chosen)} seeds kept all rules")
+    if failed:
+        raise click.ClickException(f"rules broken by seeds {', '.join(map(str, failed))}")
+
+
+def _soak_one(seed: int, out: Path, slack: float) -> list[str]:
+    """Play one seed in a process of its own; returns what was broken."""
+    folder = out / f"seed-{seed}"
+    command = [sys.executable, "-m", "scalelb.lab.soak", str(seed), str(folder), str(slack)]
+    run = subprocess.run(command, capture_output=True, text=True)
+    path = folder / "report.json"
+    if not path.exists():
+        return [f"no report: {run.stderr[-1000:]}"]
+    broken: list[str] = orjson.loads(path.read_bytes())["broken"]
+    return broken
+
+
 def _chosen(experiment: Experiment, only: tuple[str, ...]) -> list[Variant]:
     names = [variant.name for variant in experiment.variants]
     if unknown := [name for name in only if name not in names]:
--- a/scalelb/lab/standins.py
+++ b/scalelb/lab/standins.py
@@ -2,8 +2,9 @@
 
 Written from the platform's protocol.  `python -m scalelb.lab.standins` reads one JSON object from standard
 input (`Plan`), binds free ports, writes one line of JSON with the addresses, and then takes commands, one
-JSON object a line: `{"counter": "silent" | "empty" | "well"}`, `{"drain": NAME}`, `{"gone": NAME}`,
-`{"tell": true}`.  It ends with its standard input.
+JSON object a line: `{"counter": "silent" | "empty" | "well"}`, `{"discovery": "silent" | "well"}`,
+`{"drain": NAME}`, `{"gone": NAME}`, `{"hang": NAME}`, `{"well": NAME}`, `{"reset": NAME}`, `{"tell": true}`.
+It ends with its standard input.
 """
 
 from __future__ import annotations
@@ -105,6 +106,19 @@
         self.drained_at = 0.0
         self.seen: list[dict[str, Any]] | None = None  # attempts and their ends, where they are kept
         self.sessions = 0
+        self.open_sessions: set[DeckSession] = set()
+        self.hangs = False  # answers nothing
+
+    def become(self, hangs: bool) -> None:
+        """Answer nothing from now on, or again; what was done meanwhile is answered then."""
+        self.hangs = hangs
+        for session in list(self.open_sessions):
+            session.flush()
+
+    def reset(self) -> None:
+        """End all connections."""
+        for session in list(self.open_sessions):
+            session.abort()
 
     def buildProtocol(self, addr: Any) -> DeckSession:  # noqa: N802
         """A limiter connects."""
@@ -182,6 +196,11 @@
         self.number = deck.sessions
         self.order: deque[Job] = deque()
 
+    def connectionMade(self) -> None:  # noqa: N802
+        """The connection is up."""
+        super().connectionMade()
+        self.deck.open_sessions.add(self)
+
     def rawDataReceived(self, data: bytes) -> None:  # noqa: N802
         """Bytes of a limiter."""
         try:
@@ -199,13 +218,14 @@
 
     def flush(self) -> None:
         """Answer what is done, in order."""
-        while self.order and self.order[0].reply:
+        while self.order and self.order[0].reply and not self.deck.hangs:
             job = self.order.popleft()
             self.deck.note("end", job)
             self.send(job.reply)
 
     def lost(self) -> None:
         """The limiter has ended the connection."""
+        self.deck.open_sessions.discard(self)
         for job in self.order:
             self.deck.note("end", job)
 
@@ -295,6 +315,7 @@
     generation: int = 1
     watches: dict[HttpSession, tuple[int, Any]] = field(default_factory=dict)
     changed: list[tuple[int, dict[str, Any]]] = field(default_factory=list)
+    silent: bool = False
     noisy = False
 
     def buildProtocol(self, addr: Any) -> HttpSession:  # noqa: N802
@@ -303,6 +324,8 @@
 
     def asked(self, session: HttpSession, method: str, url: str) -> None:
         """One call."""
+        if self.silent:
+            return
         query = parse_qs(urlsplit(url).query)
         if "from" not in query:
             self._tell(session, True, list(self.entries.values()))
@@ -369,6 +392,13 @@
         """One command; what is there to tell."""
         if how := command.get("counter"):
             self.counter.become(how)
+        if how := command.get("discovery"):
+            self.director.silent = how == "silent"
+        for word, hangs in (("hang", True), ("well", False)):
+            if name := command.get(word):
+                self.decks[name].become(hangs)
+        if name := command.get("reset"):
+            self.decks[name].reset()
         for word, lifecycle in (("drain", "draining"), ("gone", "gone")):
             if name := command.get(word):
                 self.decks[name].drains, self.decks[name].drained_at = True, self.reactor.seconds()
--- a/scalelb/program/__main__.py
+++ b/scalelb/program/__main__.py
@@ -407,12 +407,16 @@
         self.wait()
 
     def wait(self) -> None:
-        """Until the last session has its answers."""
+        """Until the last session has its answers, and the decisions have heard of every end."""
         self.door.shut_on()
-        if self.door.sessions or self.tasks:
+        core = self.loop.core
+        hears_ends = bool(core.inbox and core.limiter.attempts)
+        if self.door.sessions or self.tasks or hears_ends:
             self.reactor.callLater(0.02, self.wait)
         else:
-            self.log("stopped")
+            counts = dict(sorted(core.counts.items()))  # since the last tally
+            attempts = len(core.limiter.attempts)
+            self.log("stopped", open=len(core.open_requests), attempts=attempts, counts=counts)
             if self.links is not None:
                 self.links.stop()
             self.director.stop()
