--- a/tests/broken_program.py
+++ b/tests/broken_program.py
@@ -48,16 +48,17 @@
     program.Program.finish = finish  # type: ignore[method-assign]
 
 
-def keep_late_requests_open() -> None:
-    """What is open has its own deadline, however late it came."""
+def read_on_until_the_kill() -> None:
+    """Sessions are never closed, and what is open has its own deadline, however late it came."""
     program.Program.kill_after_s = lambda self: 60.0  # type: ignore[method-assign]
+    ClientSession.idle = lambda self: False  # type: ignore[method-assign]
 
 
 BREAKS: dict[str, Callable[[], None]] = {
     "drop-answers-at-the-end": drop_answers_at_the_end,
     "end-at-a-second-sigterm": end_at_a_second_sigterm,
     "end-without-lingering": end_without_lingering,
-    "keep-late-requests-open": keep_late_requests_open,
+    "read-on-until-the-kill": read_on_until_the_kill,
 }
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -24,7 +24,7 @@
     "drop-answers-at-the-end": 2,
     "end-at-a-second-sigterm": 26,
     "end-without-lingering": 2,
-    "keep-late-requests-open": 14,
+    "read-on-until-the-kill": 14,
 }
 History = list[dict[str, Any]]
 
