Keep what is written before replication has settled, and write it then

Cause: Replicator.write dropped everything before the incarnation had its number, without a word to the writer. Change: the last value of each key is kept, as many as a log may hold, and written as it settles; dropped where it is closed.

--- a/scalelb/replication/replicator.py
+++ b/scalelb/replication/replicator.py
@@ -63,6 +63,7 @@
         self.settling = Settling(settings, self.topology, self.replica, self.links, now)
         self.incarnation = Incarnation(settings.name, 0, self.nonce)  # number 0: not settled yet
         self.is_settled = False
+        self.unsettled_writes: dict[str, Any] = {}  # by key: the last of each before it has settled
         self.is_closed = False  # a newer incarnation of this name is at work
         self.rejected_frames = 0  # those that could not be read
         self.on_settled: Callable[[], None] = lambda: None
@@ -88,9 +89,12 @@
     # Own writes
 
     def write(self, key: str, value: Any, now: float) -> None:
-        """The next write of this incarnation; the value None deletes the entry.  Nothing is written before it
-        has settled, once it is closed, or beyond `MAX_ENTRIES`."""
-        if not self.is_settled or self.is_closed:
+        """The next write of this incarnation; the value None deletes the entry.  Nothing is written once it
+        is closed, or beyond `MAX_ENTRIES`; what comes before it has settled is written then."""
+        if self.is_closed:
+            return
+        if not self.is_settled:
+            self._keep_until_settled(key, value)
             return
         own = self.replica.log_of(self.incarnation)
         if own is None:
@@ -99,6 +103,12 @@
             return
         own.write(key, value, now)
 
+    def _keep_until_settled(self, key: str, value: Any) -> None:
+        if value is None:
+            self.unsettled_writes.pop(key, None)
+        elif len(self.unsettled_writes) < MAX_ENTRIES or key in self.unsettled_writes:
+            self.unsettled_writes[key] = value
+
     def own_log(self) -> ReplicatedLog:
         """This incarnation's log; an empty one where it has written nothing."""
         return self.replica.logs.get(self.incarnation) or ReplicatedLog()
@@ -268,6 +278,7 @@
     def _stand_down(self, newer: Incarnation) -> None:
         if not self.is_closed:
             self.is_closed = True
+            self.unsettled_writes.clear()
             self.log("peers", level="warning", what="a newer life of this name has closed this one", by=newer)
             self.on_closed()
 
@@ -283,6 +294,9 @@
         took_ms = round(now - self.settling.started_at)
         self.log("settled", life=self.incarnation.number, alone=is_alone, took_ms=took_ms)
         self.write(HEARTBEAT_KEY, now, now)
+        for key, value in self.unsettled_writes.items():
+            self.write(key, value, now)
+        self.unsettled_writes.clear()
         self.on_settled()
 
     # Who is there
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -30,7 +30,7 @@
 from scalelb.replication.frames import DELTA_BUDGET_BYTES, MEAN_ENTRY_BYTES
 from scalelb.replication.gossip import COPY_BYTES_PER_S
 from scalelb.replication.membership import DOWN_KEY_PREFIX
-from scalelb.replication.replicated_log import TOMBSTONE_MS
+from scalelb.replication.replicated_log import MAX_ENTRIES, TOMBSTONE_MS
 
 PLAN = Plan(rate_per_s=4.0, burst=16.0)
 SITE = replace(
@@ -533,6 +533,60 @@
     assert "deck-2" not in new.core.limiter.selector.endpoints
 
 
+def test_what_is_written_before_it_has_settled_is_known_to_all_once_it_has() -> None:
+    # An operator's override, and the mark of a keyed request, were dropped without a word: the next
+    # incarnation sent to the endpoint again, and another limiter sent a repeat where the key was not known.
+    cluster = Cluster(3)
+    cluster.run(2500)
+    del cluster.replicators["n1"]
+    for other in cluster.replicators.values():
+        other.link_down("n1", cluster.now)
+    new = cluster.replicators["n1"] = cluster.make("n1", 77)
+    assert not new.is_settled
+    new.write("b:deck-2", [1.0, True], cluster.now)
+    new.write("k:a b", [1, 2, 3, 4], cluster.now)
+    new.write("k:withdrawn", [1], cluster.now)
+    new.write("k:withdrawn", None, cluster.now)
+    cluster.run(2500)
+    assert new.is_settled
+    assert not new.unsettled_writes
+    for name in ("n0", "n2"):
+        entries = dict(cluster.replicators[name].replica.logs[new.incarnation].live_entries())
+        assert entries["b:deck-2"] == [1.0, True]
+        assert entries["k:a b"] == [1, 2, 3, 4]
+        assert "k:withdrawn" not in entries
+
+
+def test_what_waits_for_its_incarnation_to_settle_is_bounded_and_dropped_if_it_is_closed() -> None:
+    cluster = Cluster(2)
+    new = cluster.replicators["n1"]
+    for number in range(MAX_ENTRIES + 10):
+        new.write(f"k{number}", 1, cluster.now)
+    new.write("k0", 2, cluster.now)
+    assert len(new.unsettled_writes) == MAX_ENTRIES
+    assert new.unsettled_writes["k0"] == 2
+    new._stand_down(new.incarnation._replace(number=9))
+    assert not new.unsettled_writes
+
+
+def test_a_ban_before_it_has_settled_is_known_to_the_next_incarnation() -> None:
+    found = flock(3, seconds=0.1)
+    found.kill(1, 100.0)
+    found.cut({found.names[1]}, set(found.names))
+    found.run(found.now + 300)
+    member: Any = found.limiters[1]
+    assert not member.peering.replicator.is_settled
+    assert member.overrides.set_by_operator("deck-2", True, found.kernel.now)
+    member.peering.publish_override("deck-2", found.now)
+    found.heal()
+    found.run(found.now + 3000)
+    found.kill(1, 200.0)
+    found.run(found.now + 2000)
+    new: Any = found.limiters[1]
+    assert new is not member
+    assert new.overrides.is_ejected("deck-2")
+
+
 def test_a_stalled_incarnation_finds_itself_closed_and_grants_nothing() -> None:
     found = flock(3, seconds=5.0, counter="silent")
     old: Any = found.limiters[1]
