--- a/tests/test_queue.py
+++ b/tests/test_queue.py
@@ -107,3 +107,29 @@
     counts.clear()  # it comes back empty
     phase(500.0, silent=False)
     assert phase(3000.0, silent=False) > 0.9
+
+
+@pytest.mark.parametrize("sharing_limiters", [2, 4, 8])
+def test_while_the_counter_is_unavailable_only_what_the_share_covers_in_time_is_queued(
+    sharing_limiters: int,
+) -> None:
+    # Guards clients against a wait that ends in a refusal which could have come at once.
+    d = Driver(replace(SETTINGS, plans=(replace(METERED, rate_per_s=4.0, burst=8.0),)))
+
+    def wait_without_counter(ms: float) -> None:
+        before = len(d.calls())
+        d.wait(ms)
+        for call in d.calls()[before:]:
+            d.give(CounterReplied(call.counter_key, Outcome.CONNECT_FAILED, 0.0, 2.0))
+
+    d.ask(sharing_limiters=sharing_limiters)
+    for _ in range(60):
+        wait_without_counter(50.0)
+    for send in d.sends():
+        d.end(send)
+    assert not d.limiter.leases.is_counter_available()
+    asked = {d.ask(sharing_limiters=sharing_limiters) for _ in range(8)}
+    at_once = {a.request_id for a in d.refused()}
+    for _ in range(40):
+        wait_without_counter(50.0)
+    assert set(refused(d)) & asked == at_once
