Soak: judge each connection by when it ended, not by whether its limiter was killed later

Its history, kept by pytest, tells why: every life was killed, and the rule passed over all connections of such a life, also those that the limiter had ended seconds before the kill. Change: a loss is the kill's only if it was seen after the kill; a life beside another counts only while both ran. No bound moves.

--- a/scalelb/lab/soak_checks.py
+++ b/scalelb/lab/soak_checks.py
@@ -41,6 +41,9 @@
         self.left = {e["ident"] for e in history if e["what"] == "left"}
         self.taken = {e["ident"]: e["at"] for e in reversed(history) if e["what"] == "take"}  # first
         self.exits = {(e["limiter"], e["life"]): e["status"] for e in history if e["what"] == "exit"}
+        self.ended_at = {(e["limiter"], e["life"]): e["seen"] for e in history if e["what"] == "exit"}
+        self.ready_at = {(e["limiter"], e["life"]): e["seen"] for e in history if e["what"] == "ready"}
+        self.losses = [e for e in history if e["what"] == "lost"]
         self.signals: dict[Life, list[Event]] = defaultdict(list)
         for event in history:
             if event["what"] == "signal":
@@ -58,14 +61,35 @@
         """Whether SIGKILL ended it."""
         return self.exits.get(life) == KILLED
 
-    def lives_of(self, ask: Event) -> list[Life]:
-        """The lives that may have taken a request: a socket of two belongs to either."""
-        return [life for life in self.exits if life[0] == ask["limiter"] and abs(life[1] - ask["life"]) <= 1]
+    def lives_of(self, event: Event) -> list[Life]:
+        """The lives that may have taken a request: its own, and those beside it on a socket of two."""
+        name, number = event["limiter"], event["life"]
+        beside = [(name, number - 1, number), (name, number + 1, number + 1)]
+        lives = [(name, number)]
+        for limiter, other, newer in beside:
+            ready_at = self.ready_at.get((limiter, newer))
+            ended_at = self.ended_at.get((limiter, newer - 1))
+            if ready_at is not None and ended_at is not None and ready_at < ended_at:
+                lives.append((limiter, other))
+        return lives
+
+    def is_lost_by_kill(self, event: Event) -> bool:
+        """Whether a connection ended because its limiter was killed."""
+        killed = [self.first_signal(life, "KILL") for life in self.lives_of(event) if self.was_killed(life)]
+        return any(at is not None and event["seen"] >= at for at in killed)
+
+    def ended_before_kill(self, ask: Event) -> bool:
+        """Whether the connection that a request was sent on had ended before its limiter was killed."""
+        sent_on = ask["ident"], ask["limiter"], ask["life"]
+        return any(
+            (lost["ident"], lost["limiter"], lost["life"]) == sent_on and not self.is_lost_by_kill(lost)
+            for lost in self.losses
+        )
 
     def is_excused(self, ask: Event) -> bool:
         """Whether one sending of a request may stay without an answer."""
         killed = [life for life in self.lives_of(ask) if self.was_killed(life)]
-        if killed:
+        if killed and not self.ended_before_kill(ask):
             told = [self.first_signal(life, "TERM") for life in killed]
             return any(at is None or ask["seen"] <= at + LINGER_MS for at in told)
         # The end of the connection crossed a command that was not read: no backend has seen it.  What was
@@ -85,11 +109,11 @@
 
 
 def read_and_lost(soak: Soak) -> list[str]:
-    """No limiter that lives ends a connection under a request that it has forwarded, also where the client's
-    second sending is answered."""
+    """No limiter ends a connection under a request that it has forwarded, but by its kill; also where the
+    client's second sending is answered."""
     broken = []
     for event in soak.history:
-        if event["what"] != "lost" or any(map(soak.was_killed, soak.lives_of(event))):
+        if event["what"] != "lost" or soak.is_lost_by_kill(event):
             continue
         taken_at = soak.taken.get(event["ident"])
         if taken_at is not None and taken_at <= event["seen"] + READ_MS:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -103,6 +103,33 @@
     assert [found for found, broken in check(history).items() if broken] == [rule]
 
 
+def test_a_connection_that_ended_before_the_kill_is_no_loss_by_the_kill() -> None:
+    # Seen on a busy machine: every life of a program that drops answers was killed, and nothing was found.
+    history = good()
+    history.insert(4, event("lost", 9.0, ident="0000", limiter="a", life=1))
+    assert check(history)["no connection ended under a request"]
+    history[4]["seen"] = 7700.5
+    assert not any(check(history).values())
+
+
+def test_the_kill_of_an_earlier_life_says_nothing_of_a_crossing_in_the_next() -> None:
+    # Seen on a busy machine: 48 requests that crossed the end of a second life, whose first was killed.
+    history = good()
+    history.append(event("ready", 8000.0, limiter="a", life=2, took_ms=300.0))
+    history.append(event("ask", 9000.0, ident="crossing", limiter="a", life=2))
+    history.append(event("lost", 9001.0, ident="crossing", limiter="a", life=2))
+    assert not any(check(history).values())
+
+
+def test_a_crossing_is_one_also_where_its_limiter_is_killed_later() -> None:
+    history = good()
+    history.append(event("ask", 7000.0, ident="crossing", limiter="a", life=1))
+    history.append(event("lost", 7001.0, ident="crossing", limiter="a", life=1))
+    assert not any(check(history).values())
+    history[-1]["seen"] = 7700.5  # by the kill: it came too late to be open then
+    assert check(history)["one final answer each"]
+
+
 def test_a_request_that_crossed_the_end_of_its_connection_is_excused() -> None:
     history = good()
     history.append(event("ask", 7850.0, ident="crossing", limiter="b", life=1))
@@ -148,6 +175,11 @@
     assert report["events"]["answer"] > 100
 
 
+@pytest.mark.parametrize("seed", [153, 154])
+def test_real_limiters_keep_all_rules_with_the_kill_at_the_earliest(tmp_path: Path, seed: int) -> None:
+    assert not play(tmp_path, seed, 0.0)["broken"]
+
+
 def test_every_break_has_a_seed_that_finds_it() -> None:
     assert BROKEN_SEEDS.keys() == BREAKS.keys()
 
