--- a/review/common/apart.py
+++ b/review/common/apart.py
@@ -12,7 +12,7 @@
 
 
 class TimedServer(DeckServer):
-    """Notes when the first byte of each command came (ms of the monotonic clock, the same in all processes)."""
+    """Notes when the first byte of each command came (s, monotonic clock: the same in all processes)."""
 
     began: dict[str, float] = {}  # noqa: RUF012
 
@@ -73,7 +73,7 @@
             self.servers.append(server)
 
     def stop(self) -> tuple[dict[str, float], float]:
-        """End the process; return when each attempt began, by request, and how late the process ever was (s)."""
+        """End the process; return when each attempt began (s), and how late the process ever was (s)."""
         self.pipe.send("stop")
         result = self.pipe.recv()
         self.process.join(5)
