--- a/review/common/apart.py
+++ b/review/common/apart.py
@@ -4,9 +4,10 @@
 
 import asyncio
 import multiprocessing
+import signal
 import time
 
-from stand_ins import DeckServer, Record
+from stand_ins import CouldNotRunError, DeckServer, Record
 
 _context = multiprocessing.get_context("fork")
 
@@ -36,6 +37,9 @@
 
 def _serve(pipe, count: int, work_ms: tuple[float, float]) -> None:
     lag = 0.0
+    signal.set_wakeup_fd(-1)  # the parent's, inherited by the fork
+    signal.signal(signal.SIGTERM, signal.SIG_DFL)
+    signal.signal(signal.SIGINT, signal.SIG_IGN)
 
     async def watch_own_lag() -> None:
         nonlocal lag
@@ -67,15 +71,20 @@
         self.process.start()
         record("deck servers in process", self.process.pid)
         self.servers = []
-        for number, port in enumerate(self.pipe.recv()):
+        for number, port in enumerate(self.receive()):
             server = DeckServer(record, f"s-{number}")
             server.port = port
             self.servers.append(server)
 
+    def receive(self):
+        if not self.pipe.poll(10):
+            raise CouldNotRunError("the process of the deck servers does not answer")
+        return self.pipe.recv()
+
     def stop(self) -> tuple[dict[str, float], float]:
         """End the process; return when each attempt began (s), and how late the process ever was (s)."""
         self.pipe.send("stop")
-        result = self.pipe.recv()
+        result = self.receive()
         self.process.join(5)
         return result
 
--- a/review/common/stand_ins.py
+++ b/review/common/stand_ins.py
@@ -15,6 +15,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 from contextlib import suppress
 from pathlib import Path
 from urllib.parse import parse_qs, urlsplit
@@ -452,12 +453,26 @@
     return 1 if broken else 0
 
 
+async def _run_bounded(main, record: Record) -> int:
+    """Run the case for 100 s at most; SIGTERM and SIGINT end it, too, so that it can end its processes."""
+    task = asyncio.ensure_future(main(record))
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+    try:
+        return await asyncio.wait_for(task, 100)
+    except asyncio.CancelledError:
+        raise CouldNotRunError("ended by a signal") from None
+
+
 def run(main, folder: Path) -> int:
-    """Run the coroutine function `main(record)`; return the exit status of the case."""
+    """Run the coroutine function `main(record)`; return the exit status of the case.
+
+    Whatever goes wrong in the case itself is not a broken rule: the status is 2 then."""
     record = Record(folder)
     try:
-        return asyncio.run(asyncio.wait_for(main(record), 115))
-    except (TimeoutError, CouldNotRunError, OSError) as error:
+        return asyncio.run(_run_bounded(main, record))
+    except Exception as error:
+        record("".join(traceback.format_exception(error)))
         record.say("could not run:", type(error).__name__, error)
         return 2
     finally:
