--- a/scalelb/program/__main__.py
+++ b/scalelb/program/__main__.py
@@ -24,8 +24,8 @@
 from scalelb.protocol.agentcheck import Status
 from scalelb.transport.admin import AdminListener
 from scalelb.transport.director import DiscoveryClient
+from scalelb.transport.listener import RespListener
 from scalelb.transport.pace import PollBackoff
-from scalelb.transport.session import RespListener
 from scalelb.transport.status import StatusFactory
 from scalelb.transport.stream import Log, host_port
 
--- a/scalelb/transport/session.py
+++ b/scalelb/transport/session.py
@@ -2,22 +2,15 @@
 
 from __future__ import annotations
 
-import traceback
 from collections import deque
-from collections.abc import Callable
-from typing import Any, Protocol
+from typing import TYPE_CHECKING, Protocol
 
-from twisted.internet.interfaces import IAddress
-from twisted.internet.protocol import ServerFactory
-
-from scalelb.core.exceptions import OutOfRangeError
-from scalelb.core.incoming_request import IncomingRequest
-from scalelb.core.lifecycle import Core
-from scalelb.core.metrics import ClassMetrics
 from scalelb.core.request_table import OpenRequest, Verdict
-from scalelb.policy.settings import DeduplicationScope, Idempotency
 from scalelb.protocol import MalformedError, resp
-from scalelb.transport.stream import Log, Stream
+from scalelb.transport.stream import Stream
+
+if TYPE_CHECKING:
+    from scalelb.transport.listener import RespListener
 
 MAX_SESSION_READ_AHEAD_BYTES = 4 * 1024 * 1024  # of streamed values that the client has not taken yet
 # Commands of a session without an answer: reading pauses above the first number and resumes below the second.
@@ -28,21 +21,8 @@
 COMMAND_TIMEOUT_MS = 2300.0  # from the first byte of a command to its last
 PENDING_ANSWERS_TIMEOUT_MS = 1000.0  # after a malformed command, for the answers to the commands before it
 LINGER_TIMEOUT_MS, MAX_LINGER_BYTES = 400.0, 256 * 1024  # of input that is discarded after the last answer
-# Idle timeout without an open request. It falls from the first value to the second while the connections in
-# use rise from the low to the high ratio of those that well-behaved clients hold at most.
-IDLE_TIMEOUT_MS, MIN_IDLE_TIMEOUT_MS = 2100.0, 300.0
-LOW_USAGE_RATIO, HIGH_USAGE_RATIO = 0.5, 0.9
-# Idle time after which a session may be evicted: while new clients are accepted, and while they have to wait.
-EVICTION_IDLE_MS = 2100.0, 600.0
 WRITE_TIMEOUT_MS = 8000.0  # for a client to read its answers
-# Time that a new session has for its first command before it may be evicted, in the same two cases.
-NEW_SESSION_GRACE_MS = 250.0, 30.0
 HALF_CLOSED_TIMEOUT_MS = 100.0  # from half-closing a connection to closing it
-# Above its limit a listener evicts 1/16 of its sessions at once; closing, it accepts 16 connections a round.
-BATCH_SIZE = 16
-SPARE_SESSIONS = 24  # above the limit, for the moment until accepting pauses
-# Above the first ratio of the maximum number of sessions, idle ones are evicted down to the second.
-HIGH_WATERMARK_RATIO, LOW_WATERMARK_RATIO = 0.85, 0.7
 
 
 class Feeder(Protocol):
@@ -69,6 +49,15 @@
         self.sent = False  # whether a part of it was sent
 
 
+class RequestPayload:
+    """What an open request carries: its call, to be forwarded, and the place of its answer."""
+
+    __slots__ = ("answer", "call")
+
+    def __init__(self, call: resp.Call, answer: Answer) -> None:
+        self.call, self.answer = call, answer
+
+
 class ClientSession(Stream):
     """A downstream connection, and the caller of its requests."""
 
@@ -355,253 +344,3 @@
         self._cancel_requests()
         self.answers.clear()
         self.listener.on_disconnect(self)
-
-
-class RequestPayload:
-    """What an open request carries: its call, to be forwarded, and the place of its answer."""
-
-    __slots__ = ("answer", "call")
-
-    def __init__(self, call: resp.Call, answer: Answer) -> None:
-        self.call, self.answer = call, answer
-
-
-class RespListener(ServerFactory):
-    """Accepts client sessions and submits their requests to the core."""
-
-    noisy = False
-
-    def __init__(
-        self,
-        core: Core,
-        class_names: list[str],
-        plan_names: list[str],
-        is_ready: Callable[[], bool],
-        log: Log,
-        max_sessions: int,
-        max_open_request_bytes: int = 16 * 1024 * 1024,
-        max_read_ahead_bytes: int = 16 * 1024 * 1024,
-        expected_connections: int = 0,
-        has_other_listener: bool = False,
-        metrics: ClassMetrics | None = None,
-    ) -> None:
-        """`expected_connections`: the most that well-behaved clients hold; 0: `max_sessions`."""
-        self.has_other_listener = has_other_listener  # through which the same request may arrive
-        self.core, self.is_ready, self.log = core, is_ready, log
-        self.metrics = metrics or ClassMetrics(len(class_names))
-        self.class_indexes = {name: index for index, name in enumerate(class_names)}
-        self.plan_indexes = {name: index for index, name in enumerate(plan_names)}
-        self.sessions: dict[ClientSession, None] = {}
-        self.max_sessions, self.max_open_request_bytes, self.max_read_ahead_bytes = (
-            max_sessions,
-            max_open_request_bytes,
-            max_read_ahead_bytes,
-        )
-        self.expected_connections = expected_connections or max_sessions
-        self.open_request_ids: set[bytes] = set()
-        self.open_request_bytes = 0
-        self.read_ahead_bytes = 0  # of streamed values that clients have not taken yet
-        self.is_closing = self.is_full = False
-        self.clock = core.clock
-        self.port: Any = None
-
-    def buildProtocol(self, addr: IAddress | None) -> ClientSession | None:  # noqa: N802
-        """Return a session for a new connection; None, which closes it, above the spare sessions.
-
-        Many connections may be accepted in one round, before the port can be paused.
-        """
-        if len(self.sessions) >= self.max_sessions + SPARE_SESSIONS:
-            return None
-        return ClientSession(self)
-
-    def on_connect(self, session: ClientSession) -> None:
-        """Add a session; above the limit, evict others and pause accepting until one has ended.
-
-        This bounds the number of descriptors. Meanwhile new connections wait in the kernel.
-        """
-        self.sessions[session] = None
-        if self.port is not None:
-            # Bounds the number of connections that are accepted in one round: Twisted accepts more after each
-            # full round, and the port can be paused only between rounds.
-            self.port.numberAccepts = 0
-        if len(self.sessions) > self.max_sessions:
-            if not self.is_full and self.port is not None:
-                self.is_full = True
-                self.port.pauseProducing()
-            self.evict_sessions(1 + self.max_sessions // BATCH_SIZE)
-
-    def on_disconnect(self, session: ClientSession) -> None:
-        """Remove a session that has ended."""
-        self.sessions.pop(session, None)
-        if self.is_full and len(self.sessions) <= self.max_sessions and not self.is_closing:
-            self.is_full = False
-            self.port.resumeProducing()
-
-    def evict_sessions(self, max_count: int) -> int:
-        """End sessions without a pending answer; return how many were ended.
-
-        The order is: sessions that have sent their last answer, those that have not sent a command, and those
-        that have been idle for longest.
-        """
-        now = self.clock()
-        ended = [
-            candidate
-            for candidate in self.sessions
-            if candidate.is_input_ended and not (candidate.answers or candidate.is_closing)
-        ]
-        # Well-behaved clients send a request as soon as they connect, and their connections are idle for less
-        # than this. They must not wait behind connections that send nothing, or stay open after one request.
-        grace_ms, idle_ms = NEW_SESSION_GRACE_MS[self.is_full], EVICTION_IDLE_MS[self.is_full]
-        without_command = [
-            candidate
-            for candidate in self.sessions
-            if not candidate.has_received_command
-            and not candidate.is_input_ended
-            and now - candidate.active_at > grace_ms
-        ]
-        idle = [
-            candidate
-            for candidate in self.sessions
-            if candidate.has_received_command
-            and not candidate.is_input_ended
-            and now - candidate.active_at > idle_ms
-        ]
-        evicted_count = 0
-        for session in ended + without_command + sorted(idle, key=lambda candidate: candidate.active_at):
-            if evicted_count >= max_count:
-                break
-            if session.is_input_ended:
-                session.fail_pending_answers()
-            elif session.is_idle():
-                session.close_idle()
-            else:
-                continue
-            evicted_count += 1
-        return evicted_count
-
-    def sweep(self) -> None:
-        """End sessions that time out, and evict idle ones above the high watermark."""
-        now, count = self.clock(), len(self.sessions)
-        # Well-behaved clients hold a limited number of connections. If those that are idle after one request
-        # stayed open, none would be left for further requests, long before this listener is full.
-        usage_ratio = (
-            sum(s.has_received_command and not s.is_input_ended for s in self.sessions)
-            / self.expected_connections
-        )
-        pressure_ratio = min(
-            1.0, max(0.0, (usage_ratio - LOW_USAGE_RATIO) / (HIGH_USAGE_RATIO - LOW_USAGE_RATIO))
-        )
-        idle_timeout_ms = IDLE_TIMEOUT_MS + pressure_ratio * (MIN_IDLE_TIMEOUT_MS - IDLE_TIMEOUT_MS)
-        ended_count = self._for_each_session(lambda session: session.close_if_timed_out(now, idle_timeout_ms))
-        if count - ended_count > HIGH_WATERMARK_RATIO * self.max_sessions:
-            target_ratio = HIGH_WATERMARK_RATIO if self.is_full else LOW_WATERMARK_RATIO
-            self.evict_sessions(int(count - ended_count - target_ratio * self.max_sessions))
-
-    def count(self, class_name: str, counts: list[int]) -> None:
-        """Increment the count of a class; unknown classes are ignored."""
-        if (index := self.class_indexes.get(class_name)) is not None:
-            counts[index] += 1
-
-    def active(self) -> int:
-        """Return the number of commands without an answer."""
-        return sum(len(session.answers) for session in self.sessions)
-
-    def release_request(self, request: OpenRequest) -> None:
-        """Release the id and the bytes of a finished request."""
-        self.open_request_ids.discard(request.payload.call.request_id)
-        self.open_request_bytes -= len(request.payload.call.raw)
-
-    def submit_request(
-        self, session: ClientSession, call: resp.Call, is_idempotent: bool, answer: Answer
-    ) -> OpenRequest:
-        """Submit a request to the core; raise `MalformedError` if its values are unknown or out of range."""
-        class_index, plan_index = (
-            self.class_indexes.get(call.class_name),
-            self.plan_indexes.get(call.plan_name),
-        )
-        if class_index is None or plan_index is None:
-            raise MalformedError(f"class {call.class_name!r} or plan {call.plan_name!r} is not known")
-        idempotency, deduplication_scope = (
-            self.core.settings.request_classes[class_index].idempotency,
-            self.core.settings.request_classes[class_index].deduplication_scope,
-        )
-        if is_idempotent != (idempotency is Idempotency.IDEMPOTENT):
-            raise MalformedError(f"class {call.class_name!r} does not come by this command")
-        if idempotency is Idempotency.IDEMPOTENCY_KEY and not call.idempotency_key:
-            raise MalformedError("a request of a keyed class without a key")
-        if call.request_id in self.open_request_ids:
-            raise MalformedError("the id is that of an open request")
-        incoming = IncomingRequest(
-            tenant=call.tenant,
-            plan_index=plan_index,
-            class_index=class_index,
-            expires_in_ms=call.expires_in_ms,
-            units=call.units,
-            sharing_limiters=call.sharing_limiters,
-            first_limiter=call.first_limiter,
-            is_retry=call.is_retry,
-            idempotency_key=call.idempotency_key
-            if self.has_other_listener or deduplication_scope is not DeduplicationScope.ALL
-            else "",
-            client_address=session.client_address,
-        )
-        try:
-            request = self.core.submit(session, RequestPayload(call, answer), incoming)
-        except OutOfRangeError as error:
-            raise MalformedError(str(error)) from None
-        self.open_request_ids.add(call.request_id)
-        self.open_request_bytes += len(call.raw)
-        return request
-
-    def close(self, is_shared: bool = False) -> None:
-        """Stop listening, and close each session as soon as it has no pending answer.
-
-        Connections that wait in the kernel are accepted first. On a shared socket they are left to the other
-        incarnation, which has taken over the quota balances: this one would have to reject their requests.
-        """
-        if self.port is not None:
-            if not is_shared:
-                self.accept_waiting()
-            self.port.stopListening()
-        self.is_closing = True
-        self.close_idle_sessions()
-
-    def accept_waiting(self) -> None:
-        """Accept the connections that wait in the kernel, which would be reset when the port is closed.
-
-        Their clients may have sent a request already.
-        """
-        count_before = -1
-        while count_before < len(self.sessions) < self.max_sessions + SPARE_SESSIONS:
-            count_before, self.port.numberAccepts = len(self.sessions), BATCH_SIZE
-            self.port.doRead()
-
-    def close_idle_sessions(self) -> None:
-        """Close idle sessions, and half-closed ones after their timeout; called repeatedly during shutdown.
-
-        A session that has just connected is left open, as its client is about to send a request.
-        """
-        now = self.clock()
-        self._for_each_session(lambda session: self._close_if_idle(session, now))
-
-    @staticmethod
-    def _close_if_idle(session: ClientSession, now: float) -> None:
-        is_new = not session.has_received_command and now - session.active_at < NEW_SESSION_GRACE_MS[0]
-        if session.is_closing:
-            session.close_if_timed_out(now, 0.0)
-        elif not is_new and session.is_idle():
-            session.close_gracefully()
-
-    def _for_each_session(self, step: Callable[[ClientSession], bool | None]) -> int:
-        """Call a function with every session; return how often it returned true.
-
-        A session for which it raises is aborted, so that all others are processed and the program can end.
-        """
-        count = 0
-        for session in list(self.sessions):
-            try:
-                count += bool(step(session))
-            except Exception as error:
-                self.log("fault", level="error", what="".join(traceback.format_exception(error)))
-                session.abort()
-        return count
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -13,7 +13,7 @@
 from standin import IDEMPOTENT_CLASS, LIMITER_SETTINGS
 
 from scalelb.policy.settings import DeduplicationScope, Idempotency, RequestClass
-from scalelb.transport.session import SPARE_SESSIONS
+from scalelb.transport.listener import SPARE_SESSIONS
 
 # The client's timeout (ms) for a request, and what happens while its attempt waits for a connection.
 EVENTS_WHILE_CONNECTING = {
--- a/tests/test_listeners_agree.py
+++ b/tests/test_listeners_agree.py
@@ -21,7 +21,7 @@
 from scalelb.policy.settings import Plan
 from scalelb.transport.authz import external_auth_pb2 as pb
 from scalelb.transport.authz.front import Authorization, GrpcFront
-from scalelb.transport.session import RespListener
+from scalelb.transport.listener import RespListener
 
 RECORDED_EVENING = Path(__file__).parent / "evening.csv"
 CLASS_WEIGHTS = {
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -10,7 +10,7 @@
 from scalelb.program.__main__ import Program
 from scalelb.program.config import Config, ConfigError
 from scalelb.protocol import resp
-from scalelb.transport.session import SPARE_SESSIONS
+from scalelb.transport.listener import SPARE_SESSIONS
 
 SCENARIOS = {
     "ping is answered": """
