--- a/scalelb/program/__main__.py
+++ b/scalelb/program/__main__.py
@@ -10,6 +10,7 @@
 import sys
 from collections.abc import Callable, Coroutine
 from dataclasses import replace
+from pathlib import Path
 from random import Random
 from typing import TYPE_CHECKING, Any
 
@@ -106,6 +107,8 @@
         )
         self.has_endpoint_list = False  # whether discovery has answered
         self.cpu_s = 0.0  # CPU time of the process at the last tally
+        self.sweep_due_s = 0.0  # reactor time at which the next sweep is due
+        self.max_lag_s = 0.0  # longest delay of a sweep since the last tally
         self.tasks: set[Any] = set()
         self.status_code = 0
         self.reread: Callable[[], Config] = lambda: read_config(is_reload=True)
@@ -297,7 +300,7 @@
             self.loop.apply_endpoint_list(self.config.generation or 0, True, self.config.known)
             self.reactor.callLater(FIRST_LIST_TIMEOUT_S, self.set_ready)
         self.discovery.start()
-        self.reactor.callLater(SWEEP_INTERVAL_S, self.sweep)
+        self.schedule_sweep(SWEEP_INTERVAL_S)
         self.reactor.callLater(TALLY_INTERVAL_S, self.log_tally)
 
     def on_endpoint_list(self, generation: int, is_complete: bool, entries: list[dict[str, Any]]) -> None:
@@ -346,15 +349,19 @@
 
     def sweep(self) -> None:
         """Do the periodic housekeeping, and schedule the next run, also after an exception."""
+        self.max_lag_s = max(self.max_lag_s, self.reactor.seconds() - self.sweep_due_s)
         try:
             self.loop.sweep()
             self.listener.sweep()
             if self.incarnation is not None:
                 self.merge_overrides()
         finally:
-            self.reactor.callLater(
-                FULL_SWEEP_INTERVAL_S if self.listener.is_full else SWEEP_INTERVAL_S, self.sweep
-            )
+            self.schedule_sweep(FULL_SWEEP_INTERVAL_S if self.listener.is_full else SWEEP_INTERVAL_S)
+
+    def schedule_sweep(self, delay_s: float) -> None:
+        """Schedule the next sweep, whose delay shows how long the event loop is held up."""
+        self.sweep_due_s = self.reactor.seconds() + delay_s
+        self.reactor.callLater(delay_s, self.sweep)
 
     def log_tally(self) -> None:
         """Log the activity since the last tally, and schedule the next one."""
@@ -367,6 +374,11 @@
             "tally",
             cpu_ms=round(1000 * (cpu_s - self.cpu_s), 1),
             memory_mb=round(usage.ru_maxrss / 1024, 1),
+            resident_mb=resident_mb(),
+            lag_ms=round(1000 * self.max_lag_s, 1),
+            input_bytes=self.listener.input_bytes(),
+            request_bytes=self.listener.open_request_bytes,
+            closed=self.listener.session_metrics.take(),
             sessions=len(self.listener.sessions),
             connections=self.loop.pool.total_connections,
             open=len(core.open_requests),
@@ -386,6 +398,7 @@
             ),
         )
         self.cpu_s = cpu_s
+        self.max_lag_s = 0.0
 
     def reload(self) -> None:
         """Handle SIGHUP: read the configuration again.
@@ -453,6 +466,15 @@
             self.reactor.stop()
 
 
+def resident_mb() -> float:
+    """Return the memory that the process has now, in MB; 0 if the system does not tell."""
+    try:
+        pages = int(Path("/proc/self/statm").read_text().split()[1])
+    except (OSError, ValueError, IndexError):
+        return 0.0
+    return round(pages * resource.getpagesize() / (1024 * 1024), 1)
+
+
 def log_twisted_error(event: LogEvent) -> None:
     """Log an error that Twisted reports, which is a fault in network code, as one JSON line.
 
--- a/scalelb/program/loop.py
+++ b/scalelb/program/loop.py
@@ -86,12 +86,7 @@
 
         def on_attempt_ended(result: AttemptResult) -> None:
             if request.in_flight and request.attempt_number == attempt_number:
-                if request.first_byte_at and result.outcome is not Outcome.OK and not request.is_finished:
-                    session.fail_value(held_request.answer, request)
-                usage = result.usage
-                self.core.attempt_ended(
-                    request, result.outcome, result.value, result.report, usage.true_units, usage.used_percent
-                )
+                self.end_attempt(request, endpoint, result)
 
         timeout_at = self.clock() + timeout_ms
         class_index = self.class_indexes[held_request.call.class_name]
@@ -118,8 +113,32 @@
         if not attempt.is_done:
             request.attempt_handle = attempt
 
+    def end_attempt(self, request: OpenRequest, endpoint: str, result: AttemptResult) -> None:
+        """Report the result of the attempt in flight to the core."""
+        if result.outcome is not Outcome.OK:
+            self.log_attempt(request, endpoint, result.outcome.value)
+            if request.first_byte_at and not request.is_finished:
+                session: Any = request.caller
+                session.fail_value(request.payload.answer, request)
+        usage = result.usage
+        self.core.attempt_ended(
+            request, result.outcome, result.value, result.report, usage.true_units, usage.used_percent
+        )
+
+    def log_attempt(self, request: OpenRequest, endpoint: str, outcome: str) -> None:
+        """Log an attempt that ended without a value; whether a retry follows shows in the next line."""
+        self.log(
+            "attempt.ended",
+            id=request.payload.call.request_id.decode(),
+            attempt=request.attempt_number,
+            server=endpoint,
+            outcome=outcome,
+            took_ms=round(self.clock() - request.sent_at, 1),
+        )
+
     def abandon_attempt(self, request: OpenRequest) -> None:
         """Abandon the attempt in flight."""
+        self.log_attempt(request, request.endpoint, "client left" if request.is_finished else "timeout")
         attempt = request.attempt_handle
         request.attempt_handle = None
         if isinstance(attempt, UpstreamAttempt):
--- a/scalelb/transport/listener.py
+++ b/scalelb/transport/listener.py
@@ -17,6 +17,7 @@
 from scalelb.policy.settings import DeduplicationScope, Idempotency
 from scalelb.protocol import MalformedError, resp
 from scalelb.transport.session import Answer, ClientSession, RequestPayload
+from scalelb.transport.session_metrics import CloseReason, SessionMetrics
 from scalelb.transport.stream import Log
 
 # Idle timeout without an open request. It falls from the first value to the second while the connections in
@@ -57,6 +58,7 @@
         self.has_other_listener = has_other_listener  # through which the same request may arrive
         self.core, self.is_ready, self.log = core, is_ready, log
         self.metrics = metrics or ClassMetrics(len(class_names))
+        self.session_metrics = SessionMetrics()
         self.class_indexes = {name: index for index, name in enumerate(class_names)}
         self.plan_indexes = {name: index for index, name in enumerate(plan_names)}
         self.sessions: dict[ClientSession, None] = {}
@@ -141,7 +143,7 @@
             if session.is_input_ended:
                 session.fail_pending_answers()
             elif session.is_idle():
-                session.close_idle()
+                session.close_idle(CloseReason.EVICTED)
             else:
                 continue
             evicted_count += 1
@@ -170,6 +172,24 @@
         if (index := self.class_indexes.get(class_name)) is not None:
             counts[index] += 1
 
+    def log_failure(self, request: OpenRequest) -> None:
+        """Log a request that ends as failed, with what identifies it and its last attempt."""
+        call = request.payload.call
+        self.log(
+            "request.failed",
+            level="warning",
+            id=call.request_id.decode(),
+            tenant=call.tenant,
+            kind=call.class_name,
+            attempts=request.attempt_number + 1,
+            server=request.endpoint,
+            late_ms=round(self.clock() - request.expires_at, 1),
+        )
+
+    def input_bytes(self) -> int:
+        """Return the bytes of commands that are not complete yet, over all sessions."""
+        return sum(session.reader.buffer.size for session in self.sessions)
+
     def active(self) -> int:
         """Return the number of commands without an answer."""
         return sum(len(session.answers) for session in self.sessions)
@@ -271,5 +291,6 @@
                 count += bool(step(session))
             except Exception as error:
                 self.log("fault", level="error", what="".join(traceback.format_exception(error)))
+                session.note_close_reason(CloseReason.FAULT)
                 session.abort()
         return count
--- a/scalelb/transport/session.py
+++ b/scalelb/transport/session.py
@@ -7,6 +7,7 @@
 
 from scalelb.core.request_table import OpenRequest, Verdict
 from scalelb.protocol import MalformedError, resp
+from scalelb.transport.session_metrics import LOGGED_REASONS, CloseReason
 from scalelb.transport.stream import Stream
 
 if TYPE_CHECKING:
@@ -15,6 +16,7 @@
 MAX_SESSION_READ_AHEAD_BYTES = 4 * 1024 * 1024  # of streamed values that the client has not taken yet
 # Commands of a session without an answer: reading pauses above the first number and resumes below the second.
 MAX_PENDING_COMMANDS, RESUME_PENDING_COMMANDS = 64, 32
+MAX_LOGGED_IDS = 8  # of the requests without an answer, when a session ends
 FAILED_REPLY = resp.error("failed")
 FIRST_BYTE_TIMEOUT_MS = 1800.0  # from connecting
 FIRST_COMMAND_TIMEOUT_MS = 2300.0  # from connecting; clients may take 2 s to send a request head
@@ -74,6 +76,7 @@
         # first byte of a command, and when the client was first seen not to read its answers (0: it reads).
         self.active_at = self.command_started_at = self.write_blocked_at = 0.0
         self.read_ahead_bytes = 0  # of streamed values that the client has not taken yet
+        self.close_reason = CloseReason.CLIENT  # until this side decides to end the connection
 
     def connectionMade(self) -> None:  # noqa: N802
         """Register the session with its listener."""
@@ -107,12 +110,18 @@
         if len(self.answers) > MAX_PENDING_COMMANDS or not self.is_flushed:
             self.pause()
 
-    def malformed(self, what: str) -> None:
+    def malformed(self, what: str, reason: CloseReason = CloseReason.MALFORMED) -> None:
         """Send an error after the pending answers, and discard all further input."""
         self.listener.log("malformed", level="warning", what=what, peer=str(self.transport.getPeer()))
         self.reader = resp.CommandReader()
+        self.note_close_reason(reason)
         self._send_last(resp.error(f"malformed: {what}"))
 
+    def note_close_reason(self, reason: CloseReason) -> None:
+        """Record why this side ends the connection; the first reason counts."""
+        if self.close_reason is CloseReason.CLIENT:
+            self.close_reason = reason
+
     def is_client_connected(self) -> bool:
         """Return whether the client can still receive an answer."""
         return not (self.is_closed or self.is_closing or (self.paused and self.has_peer_closed()))
@@ -140,24 +149,26 @@
                 self.fail_pending_answers()
         elif not self.is_flushed and self.write_blocked_at and now - self.write_blocked_at > WRITE_TIMEOUT_MS:
             self.listener.log("stuck", level="warning", peer=str(self.transport.getPeer()))
+            self.note_close_reason(CloseReason.WRITE_TIMEOUT)
             self.abort()
         elif self.reader.buffer.size and (
             (now - self.command_started_at > COMMAND_TIMEOUT_MS and not self.paused)
             or (now - self.active_at > FIRST_COMMAND_TIMEOUT_MS and not self.has_received_command)
         ):
-            self.malformed("the command does not end")
+            self.malformed("the command does not end", CloseReason.INPUT_TIMEOUT)
         elif (
             now - self.active_at > (idle_timeout_ms if self.has_received_command else FIRST_BYTE_TIMEOUT_MS)
             and self.is_idle()
         ):
-            self.close_idle()
+            self.close_idle(CloseReason.IDLE)
         else:
             self.write_blocked_at = 0.0 if self.is_flushed else self.write_blocked_at or now
             return False
         return True
 
-    def close_idle(self) -> None:
+    def close_idle(self, reason: CloseReason) -> None:
         """Close an idle connection now, so that the peer learns of it before it writes another request."""
+        self.note_close_reason(reason)
         self.is_closing = self.is_input_ended = True
         self.close_immediately()
 
@@ -168,6 +179,7 @@
         Closing it while bytes arrive would reset it, and the client could lose the answer that was just
         written. Such bytes are not read: the client sends its request again on another connection.
         """
+        self.note_close_reason(CloseReason.SHUTDOWN)
         self.is_closing = self.is_input_ended = True
         self.active_at = self.listener.clock()
         self.pause()
@@ -209,6 +221,7 @@
         elif name in (b"CLIENT", b"SELECT"):
             self._append_answer(Answer(resp.OK))
         elif name == b"QUIT":
+            self.note_close_reason(CloseReason.QUIT)
             self._send_last(resp.OK)
         else:
             self._append_answer(Answer(resp.error("unknown command")))
@@ -239,6 +252,8 @@
         elif verdict is Verdict.REJECTED:
             data, counts = resp.busy(retry_after_ms), metrics.rejected
         self.listener.count(request.payload.call.class_name, counts)
+        if verdict is Verdict.FAILED:
+            self.listener.log_failure(request)
         answer = request.payload.answer
         answer.feeder = None
         if self.answers and self.answers[0] is answer:
@@ -289,6 +304,7 @@
             self.listener.release_request(request)
             self.listener.core.cancel(request)
             answer.data = b""
+            self.note_close_reason(CloseReason.VALUE_BROKEN)
             self.abort()
 
     def _append_answer(self, answer: Answer) -> None:
@@ -341,6 +357,21 @@
             self.listener.read_ahead_bytes - self.read_ahead_bytes,
             0,
         )
+        self._report_close()
         self._cancel_requests()
         self.answers.clear()
         self.listener.on_disconnect(self)
+
+    def _report_close(self) -> None:
+        pending = [a.request for a in self.answers if a.request is not None and a.data is None]
+        self.listener.session_metrics.on_close(self.close_reason, len(pending))
+        if self.close_reason in LOGGED_REASONS:
+            ids = [request.payload.call.request_id.decode() for request in pending[:MAX_LOGGED_IDS]]
+            self.listener.log(
+                "session.closed",
+                level="warning",
+                reason=self.close_reason.value,
+                client=self.client_address,
+                open=len(pending),
+                ids=ids,
+            )
