--- a/tests/processes.py
+++ b/tests/processes.py
@@ -12,6 +12,7 @@
 import time
 from collections.abc import Callable, Iterator
 from contextlib import suppress
+from dataclasses import dataclass
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
 from typing import Any
@@ -134,6 +135,14 @@
     def log_message(self, *_: Any) -> None: ...
 
 
+@dataclass(frozen=True)
+class ProcessLimits:
+    """The limits of a daemon's process, as in its configuration."""
+
+    sockets: int = 1024
+    memory_mb: int = 192
+
+
 class LimiterProcess:
     """The daemon as a process, with its log and its port."""
 
@@ -145,7 +154,7 @@
         admin: str = "",
         settings: dict[str, Any] | None = None,
         known: tuple[dict[str, Any], ...] = (),
-        sockets: int = 0,
+        limits: ProcessLimits | None = None,
         **fronts: str,
     ) -> None:
         config = {
@@ -157,8 +166,8 @@
         }
         if known:
             config["known"] = {"generation": 2, "reset": True, "instances": known}
-        if sockets:
-            config["limits"] = {"sockets": sockets}
+        if limits is not None:
+            config["limits"] = {"sockets": limits.sockets, "memory_mb": limits.memory_mb}
         (folder / "config.json").write_text(json.dumps(config))
         sections = [f'[{name}]\nlisten = "{address}"\n' for name, address in fronts.items()]
         (folder / "fronts.toml").write_text("".join(sections))
@@ -175,8 +184,8 @@
             [sys.executable, "-m", "scalelb.program"],
             stderr=subprocess.PIPE, env=environment, cwd=ROOT, text=True, pass_fds=inherited_descriptors,
         )  # fmt: skip
-        if sockets:
-            resource.prlimit(self.process.pid, resource.RLIMIT_NOFILE, (sockets, sockets))
+        if limits is not None:
+            resource.prlimit(self.process.pid, resource.RLIMIT_NOFILE, (limits.sockets, limits.sockets))
         self.started = self.wait_for_event("started")
 
     def wait_for_event(self, event: str, **expected: Any) -> dict[str, Any]:
@@ -193,6 +202,16 @@
             watchdog.cancel()
         raise AssertionError(f"the process ended before it logged '{event}'")
 
+    def memory_mb(self) -> float:
+        """Return the most memory that the process has had."""
+        status = Path(f"/proc/{self.process.pid}/status").read_text()
+        return int(status.partition("VmHWM:")[2].split()[0]) / 1024
+
+    def cpu_ms(self) -> float:
+        """Return the CPU time that the process has used."""
+        fields = Path(f"/proc/{self.process.pid}/stat").read_text().rpartition(")")[2].split()
+        return 1000.0 * (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
     def connect(self, port: int | None = None) -> socket.socket:
         return socket.create_connection(("127.0.0.1", port or self.started["port"]), TIMEOUT_S)
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -24,6 +24,7 @@
     TIMEOUT_S,
     LimiterProcess,
     Peer,
+    ProcessLimits,
     encode_lines,
     eventually,
     read_to_end,
@@ -375,7 +376,7 @@
     # 300 clients that send nothing or are idle connect while discovery is unreachable; the limit is 256
     # descriptors.
     discovery, backend, other = Peer(has_full_backlog=True), Peer(), Peer()
-    limiter = run_limiter(discovery, entry(backend), sockets=256)
+    limiter = run_limiter(discovery, entry(backend), limits=ProcessLimits(sockets=256))
     limiter.wait_for_event("ready")
     discovery.wait_until_dialled()
     clients = [limiter.connect() for _ in range(300)]
