Share the event loop among sessions: a flood on one connection no longer delays the others

Cause: ClientSession.rawDataReceived handled all commands of a read (64 KiB, 4,681 PINGs, each with a write of its own) before anything else, on every readable connection in turn; the limit of 64 commands was looked at only after the whole read. Now a read takes 8 KiB, a turn of a session is bounded by the cost of its commands, and sessions with commands left wait in a queue by least attained service; a round that takes over 20 ms halves the work of the next. Answers of a turn are written together, and the time that a command waits for its turn is taken off its deadline. Above twice the connections to backends, a session may have one open request.

--- a/scalelb/program/__main__.py
+++ b/scalelb/program/__main__.py
@@ -78,6 +78,8 @@
             expected_connections=config.sockets // 3,
             has_other_listener=bool(fronts.external_authorization),
             metrics=self.loop.metrics,
+            call_in_next_round=lambda function: reactor.callLater(0, function),
+            max_shared_requests=2 * config.max_backend_connections,
         )
         self.incarnation: Incarnation | None = None  # None without a folder shared with other incarnations
         if config.shared:
--- a/scalelb/protocol/resp.py
+++ b/scalelb/protocol/resp.py
@@ -7,10 +7,15 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Iterator
 from dataclasses import dataclass
 
 from scalelb.protocol import MalformedError
+from scalelb.protocol.commands import Command as Command
+from scalelb.protocol.commands import CommandReader as CommandReader
+from scalelb.protocol.commands import read_command as read_command
+from scalelb.protocol.framing import MAX_BUFFERED_VALUE_BYTES as MAX_BUFFERED_VALUE_BYTES
+from scalelb.protocol.framing import MAX_COMMAND_BYTES as MAX_COMMAND_BYTES
+from scalelb.protocol.framing import MAX_LENGTH_HEADER_BYTES, MAX_PARTS, Buffer, read_length
 from scalelb.protocol.headers import MAX_IDEMPOTENCY_KEY_LENGTH, read_tenant
 
 HEX16 = re.compile(rb"[0-9a-fA-F]{16}")
@@ -22,13 +27,9 @@
 PLAIN_DECIMAL = re.compile(rb"[0-9]{1,9}(?:\.[0-9]{1,9})?")
 ERROR_LINE = re.compile(rb"-[A-Z]+(?: [ -~]*)?")  # as backends write it
 MAX_VALUE_LIST_BYTES = 1024  # of the list of values in a call
-MAX_BUFFERED_VALUE_BYTES = 64 * 1024  # a longer value of a reply is streamed
 MAX_STREAMED_VALUE_BYTES = 4 * 1024 * 1024
 STREAMED_REPLY_HEAD = re.compile(rb"\*3\r\n\$([0-9]{1,9})\r\n")  # start of a reply, up to its value
-MAX_PARTS = 16  # parts of a command, elements of a nested array
-MAX_COMMAND_BYTES = MAX_BUFFERED_VALUE_BYTES + 4096
 MAX_REPLY_BYTES = MAX_BUFFERED_VALUE_BYTES + 16 * 1024  # of a reply; a streamed value does not count
-MAX_LENGTH_HEADER_BYTES = 16  # type byte, digits and line end of a length
 MAX_NESTING_DEPTH = 2
 REPLY_ELEMENTS = 3  # value, usage figures, load report
 MAX_LINE_BYTES = 1024
@@ -50,127 +51,6 @@
     return b"-BUSY %d\r\n" % retry_after_ms if retry_after_ms >= 1 else b"-BUSY\r\n"
 
 
-def _read_length(buffer: bytes, start: int, end: int) -> int:
-    """Return the number between the type byte at `start` and `end`."""
-    digits = buffer[start + 1 : end]
-    if not digits.isdigit() or len(digits) > MAX_LENGTH_HEADER_BYTES:
-        raise MalformedError(f"length {digits[:20]!r} is not a number")
-    return int(digits)
-
-
-class Buffer:
-    """Collects received bytes until a message may be complete; joins pieces only if a message was split."""
-
-    __slots__ = ("need", "pieces", "size")
-
-    def __init__(self) -> None:
-        self.pieces: list[bytes] = []
-        self.size = 0
-        self.need = 0  # number of bytes below which no message can be complete
-
-    def append(self, data: bytes) -> bytes | None:
-        """Return all bytes, `data` included; None while no message can be complete."""
-        self.size += len(data)
-        if self.size < self.need:
-            self.pieces.append(data)
-            return None
-        if self.pieces:
-            self.pieces.append(data)
-            data = b"".join(self.pieces)
-            self.pieces.clear()
-        return data
-
-    def put_back(self, data: bytes, start: int, need: int) -> None:
-        """Store what was not consumed, from `start`, and the number of bytes that a message needs."""
-        self.size, self.need = len(data) - start, need
-        if self.size:
-            self.pieces.append(data[start:] if start else data)
-
-
-class Command:
-    """An array of bulk strings, with the positions of the command and of its parts in the buffer."""
-
-    __slots__ = ("buffer", "end", "spans", "start")
-
-    def __init__(self, buffer: bytes, start: int, end: int, spans: list[tuple[int, int]]) -> None:
-        self.buffer, self.start, self.end, self.spans = buffer, start, end, spans
-
-    def __len__(self) -> int:
-        return len(self.spans)
-
-    def part(self, index: int) -> memoryview:
-        """Return one part as a slice of the buffer."""
-        start, end = self.spans[index]
-        return memoryview(self.buffer)[start:end]
-
-    @property
-    def name(self) -> bytes:
-        """The command's name, in upper case."""
-        start, end = self.spans[0]
-        return self.buffer[start:end].upper()
-
-
-class CommandReader:
-    """Parses the bytes of a client to commands."""
-
-    __slots__ = ("buffer",)
-
-    def __init__(self) -> None:
-        self.buffer = Buffer()
-
-    def feed(self, data: bytes) -> Iterator[Command]:
-        """Yield the commands that `data` completes; then raises `MalformedError` if what follows is none."""
-        buffer = self.buffer.append(data)
-        if buffer is None:
-            return
-        start, size = 0, len(buffer)
-        need = 0
-        while start < size:
-            command = read_command(buffer, start)
-            if isinstance(command, int):
-                need = command - start
-                break
-            start = command.end
-            yield command
-        self.buffer.put_back(buffer, start, need)
-
-
-def read_command(buffer: bytes, start: int) -> Command | int:
-    """Return the command at `start`; if it is incomplete, a buffer size below which it can't be complete.
-
-    Each part that is still missing takes 6 bytes or more."""
-    if buffer[start] != 42:  # *
-        raise MalformedError(f"a command begins with '*', not {buffer[start : start + 1]!r}")
-    size = len(buffer)
-    line_end = buffer.find(b"\r\n", start, start + MAX_LENGTH_HEADER_BYTES)
-    if line_end < 0:
-        if size - start >= MAX_LENGTH_HEADER_BYTES:
-            raise MalformedError("the array's length does not end")
-        return size + 1
-    count = _read_length(buffer, start, line_end)
-    if not 1 <= count <= MAX_PARTS:
-        raise MalformedError(f"{count} parts in a command")
-    spans, offset = [], line_end + 2
-    for parts_after in range(count - 1, -1, -1):
-        line_end = buffer.find(b"\r\n", offset, offset + MAX_LENGTH_HEADER_BYTES)
-        if line_end < 0:
-            if size - offset >= MAX_LENGTH_HEADER_BYTES:
-                raise MalformedError("a part's length does not end")
-            return max(size + 1, offset + 6 * (parts_after + 1))
-        if buffer[offset] != 36:  # $
-            raise MalformedError(f"a part begins with '$', not {buffer[offset : offset + 1]!r}")
-        part_end = line_end + 2 + _read_length(buffer, offset, line_end)
-        if part_end - start > MAX_COMMAND_BYTES:
-            raise MalformedError("the command is too long")
-        if size < part_end + 2:
-            return part_end + 2 + 6 * parts_after
-        if buffer[part_end] != 13 or buffer[part_end + 1] != 10:
-            raise MalformedError("a part is longer than its length says")
-        spans.append((line_end + 2, part_end))
-        offset = part_end + 2
-    return Command(buffer, start, offset, spans)
-
-
 def _read_integer(values: dict[bytes, bytes], name: bytes) -> int:
     """Return a value as an integer of ASCII digits, for the reason given at `headers.read_integer`."""
     if INTEGER.fullmatch(value := values[name]) is None:
@@ -373,7 +253,7 @@
     content = line_end + 2
     if buffer[start:line_end] in (b"_", b"$-1"):
         return -1, -1, content
-    length = _read_length(buffer, start, line_end)
+    length = read_length(buffer, start, line_end)
     if length > MAX_STREAMED_VALUE_BYTES:
         raise MalformedError("the value is too long")
     if len(buffer) < content + length + 2:
@@ -396,7 +276,7 @@
         return None
     offset = line_end + 2
     if buffer[start] == 42 and buffer[start:line_end] != b"*-1":
-        if (count := _read_length(buffer, start, line_end)) > MAX_PARTS or depth >= MAX_NESTING_DEPTH:
+        if (count := read_length(buffer, start, line_end)) > MAX_PARTS or depth >= MAX_NESTING_DEPTH:
             raise MalformedError(f"{count} elements in a reply")
         for _ in range(count):
             if (inner := _read_extra_element(buffer, offset, depth + 1)) is None:
@@ -431,7 +311,7 @@
         if len(buffer) - start >= MAX_LENGTH_HEADER_BYTES:
             raise MalformedError("the reply's length does not end")
         return None
-    if (count := _read_length(buffer, start, end)) != REPLY_ELEMENTS:
+    if (count := read_length(buffer, start, end)) != REPLY_ELEMENTS:
         raise MalformedError(f"{count} elements in a reply")
     offset, value, usage, report = end + 2, None, b"", b""
     for index in range(count):
--- a/scalelb/transport/listener.py
+++ b/scalelb/transport/listener.py
@@ -16,6 +16,7 @@
 from scalelb.core.request_table import OpenRequest
 from scalelb.policy.settings import DeduplicationScope, Idempotency
 from scalelb.protocol import MalformedError, resp
+from scalelb.transport.input_scheduler import InputScheduler
 from scalelb.transport.session import Answer, ClientSession, RequestPayload
 from scalelb.transport.session_metrics import CloseReason, SessionMetrics
 from scalelb.transport.stream import Log
@@ -35,6 +36,14 @@
 HIGH_WATERMARK_RATIO, LOW_WATERMARK_RATIO = 0.85, 0.7
 
 
+def call_in_reactor(function: Callable[[], None]) -> object:
+    """Call a function in the next round of the global event loop."""
+    from twisted.internet import reactor
+
+    untyped_reactor: Any = reactor
+    return untyped_reactor.callLater(0, function)
+
+
 class RespListener(ServerFactory):
     """Accepts client sessions and submits their requests to the core."""
 
@@ -53,8 +62,14 @@
         expected_connections: int = 0,
         has_other_listener: bool = False,
         metrics: ClassMetrics | None = None,
+        call_in_next_round: Callable[[Callable[[], None]], object] | None = None,
+        max_shared_requests: int = 4096,
     ) -> None:
-        """`expected_connections`: the most that well-behaved clients hold; 0: `max_sessions`."""
+        """`expected_connections`: the most that well-behaved clients hold; 0: `max_sessions`.
+
+        Above `max_shared_requests` open requests, each session may have only one.
+        `call_in_next_round` calls a function in the next round of the event loop; None: of the global one.
+        """
         self.has_other_listener = has_other_listener  # through which the same request may arrive
         self.core, self.is_ready, self.log = core, is_ready, log
         self.metrics = metrics or ClassMetrics(len(class_names))
@@ -73,6 +88,8 @@
         self.read_ahead_bytes = 0  # of streamed values that clients have not taken yet
         self.is_closing = self.is_full = False
         self.clock = core.clock
+        self.max_shared_requests = max_shared_requests
+        self.input_scheduler = InputScheduler(self.clock, call_in_next_round or call_in_reactor)
         self.port: Any = None
 
     def buildProtocol(self, addr: IAddress | None) -> ClientSession | None:  # noqa: N802
@@ -186,9 +203,13 @@
             late_ms=round(self.clock() - request.expires_at, 1),
         )
 
+    def is_crowded(self) -> bool:
+        """Return whether so many requests are open that a session may have only one."""
+        return len(self.core.open_requests) >= self.max_shared_requests
+
     def input_bytes(self) -> int:
         """Return the bytes of commands that are not complete yet, over all sessions."""
-        return sum(session.reader.buffer.size for session in self.sessions)
+        return sum(session.reader.size for session in self.sessions)
 
     def active(self) -> int:
         """Return the number of commands without an answer."""
@@ -219,11 +240,12 @@
             raise MalformedError("a request of a keyed class without a key")
         if call.request_id in self.open_request_ids:
             raise MalformedError("the id is that of an open request")
+        waited_ms = self.clock() - session.received_at  # for other commands to be handled
         incoming = IncomingRequest(
             tenant=call.tenant,
             plan_index=plan_index,
             class_index=class_index,
-            expires_in_ms=call.expires_in_ms,
+            expires_in_ms=max(1.0, call.expires_in_ms - waited_ms) if waited_ms > 0 else call.expires_in_ms,
             units=call.units,
             sharing_limiters=call.sharing_limiters,
             first_limiter=call.first_limiter,
--- a/scalelb/transport/session.py
+++ b/scalelb/transport/session.py
@@ -7,6 +7,7 @@
 
 from scalelb.core.request_table import OpenRequest, Verdict
 from scalelb.protocol import MalformedError, resp
+from scalelb.transport.input_scheduler import REQUEST_COST
 from scalelb.transport.session_metrics import LOGGED_REASONS, CloseReason
 from scalelb.transport.stream import Stream
 
@@ -14,9 +15,10 @@
     from scalelb.transport.listener import RespListener
 
 MAX_SESSION_READ_AHEAD_BYTES = 4 * 1024 * 1024  # of streamed values that the client has not taken yet
-# Commands of a session without an answer: reading pauses above the first number and resumes below the second.
+# Commands of a session without an answer: reading pauses at the first number and resumes below the second.
 MAX_PENDING_COMMANDS, RESUME_PENDING_COMMANDS = 64, 32
 MAX_LOGGED_IDS = 8  # of the requests without an answer, when a session ends
+MAX_READ_BYTES = 8 * 1024  # of one read: what a session may hold of commands that wait for their turn
 FAILED_REPLY = resp.error("failed")
 FIRST_BYTE_TIMEOUT_MS = 1800.0  # from connecting
 FIRST_COMMAND_TIMEOUT_MS = 2300.0  # from connecting; clients may take 2 s to send a request head
@@ -76,11 +78,15 @@
         # first byte of a command, and when the client was first seen not to read its answers (0: it reads).
         self.active_at = self.command_started_at = self.write_blocked_at = 0.0
         self.read_ahead_bytes = 0  # of streamed values that the client has not taken yet
+        self.received_at = 0.0  # time (ms) of the last read
+        self.attained_cost = self.attained_in = 0  # see `InputScheduler`
+        self.is_corked = False  # whether answers are collected, to be sent together
         self.close_reason = CloseReason.CLIENT  # until this side decides to end the connection
 
     def connectionMade(self) -> None:  # noqa: N802
         """Register the session with its listener."""
         super().connectionMade()
+        self.transport.bufferSize = MAX_READ_BYTES
         self.active_at = self.listener.clock()
         self.client_address = str(getattr(self.transport.getPeer(), "host", ""))
         self.listener.on_connect(self)
@@ -92,23 +98,60 @@
             if self.discarded_bytes > MAX_LINGER_BYTES:  # saves CPU time: the rest stays in the kernel
                 self.pause()
             return
-        buffered_before, is_command_complete = self.reader.buffer.size, False
+        was_in_command = self.reader.is_in_command()
+        self.reader.append(data)
+        self.received_at = self.listener.clock()
+        if not was_in_command:
+            self.command_started_at = self.received_at
+        self.listener.input_scheduler.on_input(self)
+        self.pause_or_resume()
+
+    def handle_input(self, max_cost: int) -> int:
+        """Handle commands until they have cost `max_cost`; return their cost."""
+        cost = 0
+        self.is_corked = True
         try:
-            for command in self.reader.feed(data):
-                self.has_received_command = is_command_complete = True
-                self._handle_command(command)
-                if self.is_input_ended:
-                    return
+            while cost < max_cost and self.has_input():
+                command = self.reader.next_command()
+                if command is None:
+                    break
+                now = self.listener.clock()
+                self.has_received_command = True
+                self.active_at = self.command_started_at = now
+                cost += self._handle_command(command)
         except MalformedError as error:
             # Malformed input affects only its own connection, which ends after an error reply.
             self.malformed(str(error))
+        finally:
+            self._write_ready_answers()
+            self.is_corked = False
+        self.pause_or_resume()
+        return cost
+
+    def has_input(self) -> bool:
+        """Return whether there are commands that may be handled now."""
+        return self.may_handle_command() and self.reader.has_next()
+
+    def may_handle_command(self) -> bool:
+        """Return whether the limits on pending and unsent answers allow another command.
+
+        They bound the memory for a client that sends many commands, or does not read its answers."""
+        if self.is_closed or self.is_input_ended:
+            return False
+        if not self.is_flushed or len(self.answers) >= MAX_PENDING_COMMANDS:
+            return False
+        return not self.answers or not self.listener.is_crowded()
+
+    def pause_or_resume(self) -> None:
+        """Read on unless commands that have been read wait to be handled."""
+        if self.is_closed or self.is_input_ended:
             return
-        if is_command_complete or not buffered_before:
-            now = self.listener.clock()
-            self.command_started_at, self.active_at = now, now if is_command_complete else self.active_at
-        # Bounds the memory for a client that sends many commands, or does not read its answers.
-        if len(self.answers) > MAX_PENDING_COMMANDS or not self.is_flushed:
+        must_pause = not self.may_handle_command() or self.reader.has_next()
+        if must_pause and not self.paused:
             self.pause()
+        elif not must_pause and self.paused and len(self.answers) < RESUME_PENDING_COMMANDS:
+            self.command_started_at = self.listener.clock()
+            self.resume()
 
     def malformed(self, what: str, reason: CloseReason = CloseReason.MALFORMED) -> None:
         """Send an error after the pending answers, and discard all further input."""
@@ -131,7 +174,7 @@
 
         Unread bytes count as a command, so that a request that is just arriving does not lose its connection.
         """
-        is_busy = self.is_input_ended or self.answers or self.reader.buffer.size or not self.is_flushed
+        is_busy = self.is_input_ended or self.answers or self.reader.is_in_command() or not self.is_flushed
         return not (is_busy or self.has_unread_data())
 
     def close_if_timed_out(self, now: float, idle_timeout_ms: float) -> bool:
@@ -151,7 +194,7 @@
             self.listener.log("stuck", level="warning", peer=str(self.transport.getPeer()))
             self.note_close_reason(CloseReason.WRITE_TIMEOUT)
             self.abort()
-        elif self.reader.buffer.size and (
+        elif self.reader.is_in_command() and (
             (now - self.command_started_at > COMMAND_TIMEOUT_MS and not self.paused)
             or (now - self.active_at > FIRST_COMMAND_TIMEOUT_MS and not self.has_received_command)
         ):
@@ -211,11 +254,13 @@
                 self.listener.release_request(answer.request)
                 self.listener.core.cancel(answer.request)
 
-    def _handle_command(self, command: resp.Command) -> None:
+    def _handle_command(self, command: resp.Command) -> int:
+        """Handle a command; return its cost."""
         name = command.name
         if name in (resp.CALL_GET, resp.CALL_POST):
             self._handle_request(command, name)
-        elif name == b"PING":
+            return REQUEST_COST
+        if name == b"PING":
             is_ready = self.listener.is_ready()
             self._append_answer(Answer(resp.PONG if is_ready else resp.error("not ready")))
         elif name in (b"CLIENT", b"SELECT"):
@@ -225,6 +270,7 @@
             self._send_last(resp.OK)
         else:
             self._append_answer(Answer(resp.error("unknown command")))
+        return 1
 
     def _handle_request(self, command: resp.Command, name: bytes) -> None:
         call = resp.Call.read(command)
@@ -316,16 +362,24 @@
         self._append_answer(Answer(data, last=True))
 
     def _send_ready_answers(self) -> None:
-        while self.answers and (data := self.answers[0].data) is not None:
-            self.send(data)
-            if self.answers.popleft().last:
-                self.active_at = self.listener.clock()
-                self.half_close()
-                return
-        if self.answers and (first := self.answers[0]).parts:
+        if not self.is_corked:
+            self._write_ready_answers()
+            self.on_flushed()
+
+    def _write_ready_answers(self) -> None:
+        ready: list[bytes] = []
+        is_last = False
+        while self.answers and not is_last and (data := self.answers[0].data) is not None:
+            ready.append(data)
+            is_last = self.answers.popleft().last
+        if ready:
+            self.send(ready[0] if len(ready) == 1 else b"".join(ready))
+        if is_last:
+            self.active_at = self.listener.clock()
+            self.half_close()
+        elif self.answers and (first := self.answers[0]).parts:
             data, first.parts = first.parts, b""
             self.send_piece(first, data)
-        self.on_flushed()
 
     def on_flushed(self) -> None:
         """Resume reading if the client has taken its answers and few are pending.
@@ -340,14 +394,9 @@
             )
         if self.is_flushed and self.answers and (feeder := self.answers[0].feeder) is not None:
             feeder.resume_if_paused()
-        if (
-            self.paused
-            and self.is_flushed
-            and not (self.is_closed or self.is_input_ended)
-            and len(self.answers) < RESUME_PENDING_COMMANDS
-        ):
-            self.command_started_at = self.listener.clock()
-            self.resume()
+        if not self.is_corked and self.has_input():
+            self.listener.input_scheduler.on_input(self)
+        self.pause_or_resume()
         if self.listener.is_closing and not self.is_closing and self.is_idle():
             self.close_gracefully()
 
@@ -357,6 +406,7 @@
             self.listener.read_ahead_bytes - self.read_ahead_bytes,
             0,
         )
+        self.listener.input_scheduler.remove(self)
         self._report_close()
         self._cancel_requests()
         self.answers.clear()
