Bound the input of all sessions together; limits follow the memory setting

Cause: incomplete commands, 68 KiB each, were bounded for a session only, and the numbers of sessions and of connections to backends came from the descriptors alone. Now the stored input of all sessions has a limit; above it the commands that take longest are discarded, their remaining bytes are skipped without being stored, and they are answered with -BUSY at their end: the connection and what is before and behind stay. All limits on bytes and connections are derived from memory_mb less what a process with all its sessions needs. A property test shows that a discarded command ends where it would have ended.

--- a/scalelb/program/__main__.py
+++ b/scalelb/program/__main__.py
@@ -80,6 +80,7 @@
             metrics=self.loop.metrics,
             call_in_next_round=lambda function: reactor.callLater(0, function),
             max_shared_requests=2 * config.max_backend_connections,
+            max_input_bytes=config.max_input_bytes,
         )
         self.incarnation: Incarnation | None = None  # None without a folder shared with other incarnations
         if config.shared:
@@ -378,7 +379,7 @@
             memory_mb=round(usage.ru_maxrss / 1024, 1),
             resident_mb=resident_mb(),
             lag_ms=round(1000 * self.max_lag_s, 1),
-            input_bytes=self.listener.input_bytes(),
+            input_bytes=self.listener.input_budget.used,
             request_bytes=self.listener.open_request_bytes,
             closed=self.listener.session_metrics.take(),
             sessions=len(self.listener.sessions),
--- a/scalelb/program/config.py
+++ b/scalelb/program/config.py
@@ -31,7 +31,10 @@
     "draining": EndpointState.DRAINING,
     "gone": EndpointState.REMOVED,
 }
-BASELINE_MEMORY_MB = 30.0  # Memory of an idle process, with some slack.
+BASELINE_MEMORY_MB = 40.0  # Memory of a process with all its sessions open and nothing to do.
+MIN_BUFFER_MEMORY_MB = 4.0  # For buffers, however little memory the process may have.
+SESSION_MEMORY_MB = 0.02  # Of a session and the input that waits for its turn.
+REPLY_MEMORY_MB = 0.08  # Of a reply as long as one that is not streamed can be.
 DEPLOY_DIRECTORY = Path(__file__).parent.parent.parent / "deploy"
 FRONTS_FILE, FAIRNESS_FILE, PEERS_FILE = (
     DEPLOY_DIRECTORY / "fronts.toml",
@@ -180,31 +183,53 @@
         peer_descriptors = 4 * len(self.peers.members).bit_length() + 8 if self.peers is not None else 0
         return max(16, self.sockets - 60 - 17 * len(listeners) - (64 if has_grpc else 0) - peer_descriptors)
 
+    @property
+    def session_descriptors(self) -> int:
+        """The part of the available descriptors that is for clients."""
+        return self.available_descriptors * 72 // 100
+
     @property
     def max_sessions(self) -> int:
         """Client sessions at most.
 
         A third of all descriptors, at most, is for sessions with requests; the others are rejected."""
-        return self.available_descriptors * 72 // 100
+        by_memory = int(self.buffer_memory_mb / 4 / SESSION_MEMORY_MB)
+        return min(self.session_descriptors, by_memory)
 
     @property
     def max_backend_connections(self) -> int:
-        """Connections to backends at most."""
-        return self.available_descriptors - self.max_sessions
+        """Connections to backends at most; each may hold a reply that is not complete yet."""
+        by_memory = int(self.buffer_memory_mb / 4 / REPLY_MEMORY_MB)
+        return min(self.available_descriptors - self.session_descriptors, by_memory)
+
+    @property
+    def buffer_memory_mb(self) -> float:
+        """Memory for what clients and backends send, and for tables that grow with the load.
+
+        Two incarnations may run at once, and share the memory, where the platform holds the socket."""
+        process_count = 1 if self.inherited is None else 2
+        return max(MIN_BUFFER_MEMORY_MB, self.memory_mb / process_count - BASELINE_MEMORY_MB)
+
+    def buffer_bytes(self, ratio: float) -> int:
+        """Return a part of the memory for buffers, in bytes."""
+        return int(ratio * self.buffer_memory_mb * 1024 * 1024)
+
+    @property
+    def max_input_bytes(self) -> int:
+        """Bytes of commands that are not complete or not handled yet, at most."""
+        return self.buffer_bytes(1 / 8)
 
     @property
     def max_open_request_bytes(self) -> int:
-        """Bytes of open requests at most."""
-        return int(self.memory_mb * 1024 * 1024 / 8)
+        """Bytes of open requests at most; each may also be held as the command that is being forwarded."""
+        return self.buffer_bytes(1 / 10)
 
     @property
     def max_read_ahead_bytes(self) -> int:
-        """Bytes of response values, at most, that are read ahead of slow clients.
+        """Bytes of values, at most, that wait for slow clients.
 
-        This is a quarter of the memory beyond the baseline of one process, or of two where the platform holds
-        the socket, as two incarnations may run. A value takes up to twice its length while it is buffered."""
-        process_count = 1 if self.inherited is None else 2
-        return int(max(1.0, (self.memory_mb - BASELINE_MEMORY_MB * process_count) / 4) * 1024 * 1024)
+        A value takes up to twice its length while it is buffered."""
+        return self.buffer_bytes(1 / 5)
 
 
 def read_config(environment: Mapping[str, str] = os.environ, is_reload: bool = False) -> Config:
--- a/scalelb/transport/listener.py
+++ b/scalelb/transport/listener.py
@@ -16,6 +16,7 @@
 from scalelb.core.request_table import OpenRequest
 from scalelb.policy.settings import DeduplicationScope, Idempotency
 from scalelb.protocol import MalformedError, resp
+from scalelb.transport.byte_budget import ByteBudget
 from scalelb.transport.input_scheduler import InputScheduler
 from scalelb.transport.session import Answer, ClientSession, RequestPayload
 from scalelb.transport.session_metrics import CloseReason, SessionMetrics
@@ -64,6 +65,7 @@
         metrics: ClassMetrics | None = None,
         call_in_next_round: Callable[[Callable[[], None]], object] | None = None,
         max_shared_requests: int = 4096,
+        max_input_bytes: int = 16 * 1024 * 1024,
     ) -> None:
         """`expected_connections`: the most that well-behaved clients hold; 0: `max_sessions`.
 
@@ -88,6 +90,8 @@
         self.read_ahead_bytes = 0  # of streamed values that clients have not taken yet
         self.is_closing = self.is_full = False
         self.clock = core.clock
+        self.input_budget = ByteBudget(max_input_bytes)  # bytes that are read and belong to no request yet
+        self.storing: dict[ClientSession, None] = {}  # sessions with such bytes, longest first
         self.max_shared_requests = max_shared_requests
         self.input_scheduler = InputScheduler(self.clock, call_in_next_round or call_in_reactor)
         self.port: Any = None
@@ -207,9 +211,26 @@
         """Return whether so many requests are open that a session may have only one."""
         return len(self.core.open_requests) >= self.max_shared_requests
 
-    def input_bytes(self) -> int:
-        """Return the bytes of commands that are not complete yet, over all sessions."""
-        return sum(session.reader.size for session in self.sessions)
+    def on_input_stored(self, session: ClientSession, difference: int) -> None:
+        """Record that a session stores more or fewer bytes of input.
+
+        Above the limit, the incomplete commands that take longest are discarded: they are those of clients
+        that write slowly or have stopped."""
+        if not session.input_bytes:
+            self.storing[session] = None
+        elif session.input_bytes + difference == 0:
+            self.storing.pop(session, None)
+        self.input_budget.change(difference)
+        while difference > 0 and self.input_budget.is_exceeded():
+            longest = next((s for s in self.storing if s.may_discard_command()), None)
+            if longest is None:
+                return
+            longest.discard_command()
+
+    def busy_reply(self) -> bytes:
+        """Return the rejection of a request for which there is no memory."""
+        settings = self.core.settings
+        return resp.busy(settings.max_retry_after_ms if settings.sends_retry_after else 0.0)
 
     def active(self) -> int:
         """Return the number of commands without an answer."""
--- a/scalelb/transport/session.py
+++ b/scalelb/transport/session.py
@@ -78,6 +78,7 @@
         # first byte of a command, and when the client was first seen not to read its answers (0: it reads).
         self.active_at = self.command_started_at = self.write_blocked_at = 0.0
         self.read_ahead_bytes = 0  # of streamed values that the client has not taken yet
+        self.input_bytes = 0  # stored, as reported to the listener
         self.received_at = 0.0  # time (ms) of the last read
         self.attained_cost = self.attained_in = 0  # see `InputScheduler`
         self.is_corked = False  # whether answers are collected, to be sent together
@@ -99,13 +100,36 @@
                 self.pause()
             return
         was_in_command = self.reader.is_in_command()
-        self.reader.append(data)
+        try:
+            if self.reader.append(data):
+                self._append_answer(Answer(self.listener.busy_reply()))
+        except MalformedError as error:
+            self.malformed(str(error))
+            return
         self.received_at = self.listener.clock()
         if not was_in_command:
             self.command_started_at = self.received_at
         self.listener.input_scheduler.on_input(self)
+        self.update_input_bytes()
         self.pause_or_resume()
 
+    def update_input_bytes(self) -> None:
+        """Report to the listener how many bytes of input are stored."""
+        size = self.reader.size
+        if size != self.input_bytes:
+            self.listener.on_input_stored(self, size - self.input_bytes)
+            self.input_bytes = size
+
+    def may_discard_command(self) -> bool:
+        """Return whether an incomplete command is stored, and nothing before it waits to be handled."""
+        return self.input_bytes > 0 and not self.reader.has_next() and not self.is_corked
+
+    def discard_command(self) -> None:
+        """Discard the incomplete command to free its memory; it is rejected when its last byte arrives."""
+        self.reader.discard_command()
+        self.update_input_bytes()
+        self.listener.session_metrics.discarded_commands += 1
+
     def handle_input(self, max_cost: int) -> int:
         """Handle commands until they have cost `max_cost`; return their cost."""
         cost = 0
@@ -125,6 +149,7 @@
         finally:
             self._write_ready_answers()
             self.is_corked = False
+        self.update_input_bytes()
         self.pause_or_resume()
         return cost
 
@@ -157,6 +182,7 @@
         """Send an error after the pending answers, and discard all further input."""
         self.listener.log("malformed", level="warning", what=what, peer=str(self.transport.getPeer()))
         self.reader = resp.CommandReader()
+        self.update_input_bytes()
         self.note_close_reason(reason)
         self._send_last(resp.error(f"malformed: {what}"))
 
@@ -276,11 +302,8 @@
         call = resp.Call.read(command)
         # Bounds the memory of open requests; a request rejected here is not charged.
         if self.listener.open_request_bytes + len(call.raw) > self.listener.max_open_request_bytes:
-            settings = self.listener.core.settings
             self.listener.count(call.class_name, self.listener.metrics.rejected)
-            self._append_answer(
-                Answer(resp.busy(settings.max_retry_after_ms if settings.sends_retry_after else 0.0))
-            )
+            self._append_answer(Answer(self.listener.busy_reply()))
             return
         answer = Answer()
         answer.request = self.listener.submit_request(self, call, name == resp.CALL_GET, answer)
@@ -407,6 +430,8 @@
             0,
         )
         self.listener.input_scheduler.remove(self)
+        self.reader = resp.CommandReader()
+        self.update_input_bytes()
         self._report_close()
         self._cancel_requests()
         self.answers.clear()
--- a/scalelb/transport/session_metrics.py
+++ b/scalelb/transport/session_metrics.py
@@ -32,6 +32,8 @@
     def __init__(self) -> None:
         self.closed: dict[str, int] = {}
         self.cancelled_requests = 0  # whose client left before the answer
+        self.discarded_commands = 0  # incomplete ones, for lack of memory
+        self.dropped_answers = 0  # for lack of memory
 
     def on_close(self, reason: CloseReason, pending_requests: int) -> None:
         """Count the end of a session, and its requests without an answer."""
@@ -39,9 +41,11 @@
         self.cancelled_requests += pending_requests
 
     def take(self) -> dict[str, int]:
-        """Return the counts of ended sessions by reason, and start again from zero."""
-        counts, self.closed = dict(sorted(self.closed.items())), {}
-        if self.cancelled_requests:
-            counts["requests cancelled"] = self.cancelled_requests
-            self.cancelled_requests = 0
-        return counts
+        """Return the counts by name, without those that are zero, and start again from zero."""
+        counts = dict(sorted(self.closed.items()))
+        counts["requests cancelled"] = self.cancelled_requests
+        counts["commands discarded"] = self.discarded_commands
+        counts["answers dropped"] = self.dropped_answers
+        self.closed = {}
+        self.cancelled_requests = self.discarded_commands = self.dropped_answers = 0
+        return {name: count for name, count in counts.items() if count}
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -365,3 +365,27 @@
     header = field(2, field(1, field(1, b"a") + field(2, b"b")) + b"\x18\x02")
     expected = field(1, b"\x08\x08") + field(2, field(1, b"\x08\xad\x03") + header + field(3, b"no"))
     assert response.SerializeToString() == expected
+
+
+@FAST_SETTINGS
+@given(st.integers(1, len(CALLS) - 1), st.lists(st.integers(0, 10_000), max_size=12))
+def test_discarded_command_ends_where_it_would_have_ended(position: int, positions: list[int]) -> None:
+    # What follows a command that was discarded for lack of memory must not be taken for a part of it.
+    reader = resp.CommandReader()
+    reader.append(CALLS[:position])
+    count_before = 0
+    while reader.next_command() is not None:
+        count_before += 1
+    if reader.is_in_command():
+        assert reader.discard_command() > 0
+        assert reader.size == 0
+        expected_ends = 1
+    else:
+        expected_ends = 0
+    ends, count = 0, 0
+    for piece in split_at(CALLS[position:], positions):
+        ends += bool(piece) and reader.append(piece)
+        while reader.next_command() is not None:
+            count += 1
+    assert (ends, count_before + ends + count) == (expected_ends, 4)
+    assert not reader.is_in_command()
