Count values that wait for clients; free a request's bytes when it is answered

Cause: values of up to 64 KiB that wait for the client, or behind another answer, were counted nowhere, and an answered request kept its bytes until the answers before it were sent: 153 to 197 MB of bytes objects beside 25 MB counted. Now both are counted with the values read ahead, bytes of a request go with its answer, a session gets a further request only while the expected answers fit into half of the memory for them, and a value for which there is none is answered as failed (tally: answers dropped).

--- a/scalelb/transport/listener.py
+++ b/scalelb/transport/listener.py
@@ -35,6 +35,7 @@
 SPARE_SESSIONS = 24  # above the limit, for the moment until accepting pauses
 # Above the first ratio of the maximum number of sessions, idle ones are evicted down to the second.
 HIGH_WATERMARK_RATIO, LOW_WATERMARK_RATIO = 0.85, 0.7
+VALUE_AVERAGE_RATIO = 1 / 16  # weight of the latest value in the running average of their sizes
 
 
 def call_in_reactor(function: Callable[[], None]) -> object:
@@ -87,7 +88,8 @@
         self.expected_connections = expected_connections or max_sessions
         self.open_request_ids: set[bytes] = set()
         self.open_request_bytes = 0
-        self.read_ahead_bytes = 0  # of streamed values that clients have not taken yet
+        self.read_ahead_bytes = 0  # of answers that clients have not taken yet
+        self.mean_value_bytes = 0.0  # of values that were served, a running average
         self.is_closing = self.is_full = False
         self.clock = core.clock
         self.input_budget = ByteBudget(max_input_bytes)  # bytes that are read and belong to no request yet
@@ -211,6 +213,21 @@
         """Return whether so many requests are open that a session may have only one."""
         return len(self.core.open_requests) >= self.max_shared_requests
 
+    def record_value(self, size: int) -> None:
+        """Include a served value in the average size."""
+        self.mean_value_bytes += VALUE_AVERAGE_RATIO * (size - self.mean_value_bytes)
+
+    def may_hold_answer(self, size: int) -> bool:
+        """Return whether there is memory for a value that can't be sent at once."""
+        return self.read_ahead_bytes + size <= self.max_read_ahead_bytes
+
+    def expects_too_many_bytes(self) -> bool:
+        """Return whether the answers of all open requests may need more than half of the memory for answers.
+
+        Clients that do not read would otherwise have their values dropped, which has cost an attempt."""
+        expected = self.read_ahead_bytes + len(self.core.open_requests) * self.mean_value_bytes
+        return expected > self.max_read_ahead_bytes / 2
+
     def on_input_stored(self, session: ClientSession, difference: int) -> None:
         """Record that a session stores more or fewer bytes of input.
 
--- a/scalelb/transport/session.py
+++ b/scalelb/transport/session.py
@@ -42,13 +42,14 @@
 class Answer:
     """The place of an answer in the order of a session's commands."""
 
-    __slots__ = ("data", "feeder", "last", "parts", "request", "sent")
+    __slots__ = ("data", "feeder", "last", "parts", "request", "sent", "waiting_bytes")
 
     def __init__(self, data: bytes | None = None, last: bool = False) -> None:
         # `data` is None until the answer is known. After the `last` answer the session ends.
         self.data, self.last = data, last
         self.request: OpenRequest | None = None
         self.feeder: Feeder | None = None  # the source of a streamed value
+        self.waiting_bytes = 0  # of `data` or `parts` that are counted in the session's
         self.parts = b""  # pieces that wait for the answers before this one
         self.sent = False  # whether a part of it was sent
 
@@ -77,7 +78,8 @@
         # Start times (ms) of the timeouts in `close_if_timed_out`: the last activity or change of state, the
         # first byte of a command, and when the client was first seen not to read its answers (0: it reads).
         self.active_at = self.command_started_at = self.write_blocked_at = 0.0
-        self.read_ahead_bytes = 0  # of streamed values that the client has not taken yet
+        self.read_ahead_bytes = 0  # of answers that were sent and that the client has not taken yet
+        self.waiting_bytes = 0  # of answers that wait for those before them
         self.input_bytes = 0  # stored, as reported to the listener
         self.received_at = 0.0  # time (ms) of the last read
         self.attained_cost = self.attained_in = 0  # see `InputScheduler`
@@ -165,7 +167,7 @@
             return False
         if not self.is_flushed or len(self.answers) >= MAX_PENDING_COMMANDS:
             return False
-        return not self.answers or not self.listener.is_crowded()
+        return not self.answers or not (self.listener.is_crowded() or self.listener.expects_too_many_bytes())
 
     def pause_or_resume(self) -> None:
         """Read on unless commands that have been read wait to be handled."""
@@ -318,20 +320,46 @@
         data, counts = FAILED_REPLY, metrics.errors  # type: tuple[bytes | memoryview, list[int]]
         if verdict is Verdict.SERVED and value is not None:
             data, counts = value, metrics.ok
+            self.listener.record_value(len(value))
         elif verdict is Verdict.REJECTED:
             data, counts = resp.busy(retry_after_ms), metrics.rejected
         self.listener.count(request.payload.call.class_name, counts)
         if verdict is Verdict.FAILED:
             self.listener.log_failure(request)
         answer = request.payload.answer
-        answer.feeder = None
-        if self.answers and self.answers[0] is answer:
+        answer.feeder = answer.request = None
+        request.payload.call.raw = b""  # a finished request may stay in the table while its attempt is out
+        is_first = bool(self.answers) and self.answers[0] is answer
+        if data is value and not answer.sent and not self._may_hold(len(data), is_first):
+            data = FAILED_REPLY
+            self._set_waiting_bytes(answer, 0)
+            answer.parts = b""
+            self.listener.session_metrics.dropped_answers += 1
+        if is_first:
             self.answers.popleft()
-            self.send(data)
+            self._send_counted(data)
             self.active_at = self.active_at if self.is_input_ended else self.listener.clock()
             self._send_ready_answers()
         else:
             answer.data, answer.parts = answer.parts + data, b""
+            self._set_waiting_bytes(answer, len(answer.data))
+
+    def _may_hold(self, size: int, is_first: bool) -> bool:
+        """Return whether there is memory for a value, unless the kernel takes it at once."""
+        return (is_first and self.is_flushed) or self.listener.may_hold_answer(size)
+
+    def _set_waiting_bytes(self, answer: Answer, size: int) -> None:
+        difference = size - answer.waiting_bytes
+        answer.waiting_bytes = size
+        self.waiting_bytes += difference
+        self.listener.read_ahead_bytes += difference
+
+    def _send_counted(self, data: bytes | memoryview) -> None:
+        """Send bytes, and count them until the kernel has taken them."""
+        self.send(data)
+        if not self.is_flushed:
+            self.read_ahead_bytes += len(data)
+            self.listener.read_ahead_bytes += len(data)
 
     def begin_value(self, answer: Answer, feeder: Feeder) -> None:
         """Start a streamed value."""
@@ -348,18 +376,17 @@
             return
         if self.answers and self.answers[0] is answer:
             answer.sent = True
-            self.send(data)
+            self._send_counted(data)
             self.active_at = self.active_at if self.is_input_ended else self.listener.clock()
-            if not self.is_flushed:
-                self.read_ahead_bytes += len(data)
-                self.listener.read_ahead_bytes += len(data)
-                if (
-                    self.read_ahead_bytes > MAX_SESSION_READ_AHEAD_BYTES
-                    or self.listener.read_ahead_bytes > self.listener.max_read_ahead_bytes
-                ):
-                    answer.feeder.pause()
+            is_over_limit = (
+                self.read_ahead_bytes > MAX_SESSION_READ_AHEAD_BYTES
+                or self.listener.read_ahead_bytes > self.listener.max_read_ahead_bytes
+            )
+            if not self.is_flushed and is_over_limit:
+                answer.feeder.pause()
         else:
             answer.parts += data
+            self._set_waiting_bytes(answer, len(answer.parts))
             answer.feeder.pause()
 
     def fail_value(self, answer: Answer, request: OpenRequest) -> None:
@@ -367,6 +394,7 @@
 
         If a part of it was sent, only closing the connection shows the client that it is incomplete.
         """
+        self._set_waiting_bytes(answer, 0)
         answer.feeder, answer.parts = None, b""
         if answer.sent:
             self.listener.count(request.payload.call.class_name, self.listener.metrics.errors)
@@ -394,14 +422,16 @@
         is_last = False
         while self.answers and not is_last and (data := self.answers[0].data) is not None:
             ready.append(data)
-            is_last = self.answers.popleft().last
+            is_last = self.answers[0].last
+            self._set_waiting_bytes(self.answers.popleft(), 0)
         if ready:
-            self.send(ready[0] if len(ready) == 1 else b"".join(ready))
+            self._send_counted(ready[0] if len(ready) == 1 else b"".join(ready))
         if is_last:
             self.active_at = self.listener.clock()
             self.half_close()
         elif self.answers and (first := self.answers[0]).parts:
             data, first.parts = first.parts, b""
+            self._set_waiting_bytes(first, 0)
             self.send_piece(first, data)
 
     def on_flushed(self) -> None:
@@ -425,10 +455,8 @@
 
     def lost(self) -> None:
         """Cancel the requests of a client that has disconnected."""
-        self.listener.read_ahead_bytes, self.read_ahead_bytes = (
-            self.listener.read_ahead_bytes - self.read_ahead_bytes,
-            0,
-        )
+        self.listener.read_ahead_bytes -= self.read_ahead_bytes + self.waiting_bytes
+        self.read_ahead_bytes = self.waiting_bytes = 0
         self.listener.input_scheduler.remove(self)
         self.reader = resp.CommandReader()
         self.update_input_bytes()
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -872,3 +872,35 @@
         balances.append(tenant.bucket.balance)
     assert balances[1] - balances[0] == pytest.approx(5.0)
     assert balances[2] == balances[0]
+
+
+def test_value_that_waits_behind_another_is_counted_and_dropped_if_there_is_no_memory() -> None:
+    # Values of up to 64 KiB behind a slow answer, or for a client that does not read, were not counted.
+    harness = Harness(backends=1)
+    listener = harness.listener
+    harness.run("client send {call(1) + call(2) + call(3)}\n backend expect 0001")
+    listener.max_read_ahead_bytes = 300
+    value = "v" * 200
+    for peer in ("backend2", "backend3"):
+        harness.run(f"{peer} send *3\\n$200\\n{value}\\n$-1\\n$-1\\n")
+    assert 200 < listener.read_ahead_bytes <= 300
+    harness.run("backend send {SERVED}")
+    received = harness.wire("client").value()
+    assert received.startswith(b"$2\r\nok\r\n")
+    assert (received.count(b"vvv" * 60), received.count(b"-ERR failed")) == (1, 1)
+    assert listener.read_ahead_bytes == 0
+
+
+def test_bytes_of_an_answered_request_are_freed_although_its_answer_waits() -> None:
+    # They were kept until the answers before it were sent: 150 MB beside 25 MB that were counted.
+    harness = Harness()
+    harness.run("client send {call(1) + call(2, 'record-answer', key='a', body='B' * 5000)}")
+    [session] = harness.listener.sessions
+    second = session.answers[1]
+    request = second.request
+    assert request is not None
+    assert len(request.payload.call.raw) > 5000
+    harness.run("backend2 send {SERVED}")
+    assert second.request is None
+    assert request.payload.call.raw == b""
+    harness.run("backend send {SERVED}\n client expect $2\\nok\\n$2\\nok\\n")
