Execute an id once, also when it comes again after its client has left

Cause: the listener knew the ids of open requests only, and a client's leaving freed its id at once, although an attempt was at an endpoint. An id that is still open on a connection whose client has left ends that session first. The connection of the new request goes on.

--- a/scalelb/program/loop.py
+++ b/scalelb/program/loop.py
@@ -100,6 +100,7 @@
                 return None
             if request.attempt_number != attempt_number or not self.core.may_begin(request):
                 return None
+            held_request.is_sent = True
             return held_request.call.forwarded_command(int(timeout_at - self.clock()))
 
         def on_request_sent() -> None:
--- a/scalelb/transport/listener.py
+++ b/scalelb/transport/listener.py
@@ -18,6 +18,7 @@
 from scalelb.protocol import MalformedError, resp
 from scalelb.transport.byte_budget import ByteBudget
 from scalelb.transport.input_scheduler import InputScheduler
+from scalelb.transport.request_ids import RequestIds
 from scalelb.transport.session import Answer, ClientSession, RequestPayload
 from scalelb.transport.session_metrics import CloseReason, SessionMetrics
 from scalelb.transport.stream import Log
@@ -38,14 +39,6 @@
 VALUE_AVERAGE_RATIO = 1 / 16  # weight of the latest value in the running average of their sizes
 
 
-def call_in_reactor(function: Callable[[], None]) -> object:
-    """Call a function in the next round of the global event loop."""
-    from twisted.internet import reactor
-
-    untyped_reactor: Any = reactor
-    return untyped_reactor.callLater(0, function)
-
-
 class RespListener(ServerFactory):
     """Accepts client sessions and submits their requests to the core."""
 
@@ -58,20 +51,20 @@
         plan_names: list[str],
         is_ready: Callable[[], bool],
         log: Log,
+        call_in_next_round: Callable[[Callable[[], None]], object],
         max_sessions: int,
         max_open_request_bytes: int = 16 * 1024 * 1024,
         max_read_ahead_bytes: int = 16 * 1024 * 1024,
         expected_connections: int = 0,
         has_other_listener: bool = False,
         metrics: ClassMetrics | None = None,
-        call_in_next_round: Callable[[Callable[[], None]], object] | None = None,
         max_shared_requests: int = 4096,
         max_input_bytes: int = 16 * 1024 * 1024,
     ) -> None:
         """`expected_connections`: the most that well-behaved clients hold; 0: `max_sessions`.
 
         Above `max_shared_requests` open requests, each session may have only one.
-        `call_in_next_round` calls a function in the next round of the event loop; None: of the global one.
+        `call_in_next_round` calls a function in the next round of the event loop.
         """
         self.has_other_listener = has_other_listener  # through which the same request may arrive
         self.core, self.is_ready, self.log = core, is_ready, log
@@ -86,7 +79,10 @@
             max_read_ahead_bytes,
         )
         self.expected_connections = expected_connections or max_sessions
-        self.open_request_ids: set[bytes] = set()
+        deadline_ms = max(kind.deadline_ms for kind in core.settings.request_classes)
+        self.request_ids: RequestIds[ClientSession] = RequestIds(
+            core.clock, core.limits.max_deadline_multiple * deadline_ms
+        )
         self.open_request_bytes = 0
         self.read_ahead_bytes = 0  # of answers that clients have not taken yet
         self.mean_value_bytes = 0.0  # of values that were served, a running average
@@ -95,7 +91,7 @@
         self.input_budget = ByteBudget(max_input_bytes)  # bytes that are read and belong to no request yet
         self.storing: dict[ClientSession, None] = {}  # sessions with such bytes, longest first
         self.max_shared_requests = max_shared_requests
-        self.input_scheduler = InputScheduler(self.clock, call_in_next_round or call_in_reactor)
+        self.input_scheduler = InputScheduler(self.clock, call_in_next_round)
         self.port: Any = None
 
     def buildProtocol(self, addr: IAddress | None) -> ClientSession | None:  # noqa: N802
@@ -174,6 +170,7 @@
 
     def sweep(self) -> None:
         """End sessions that time out, and evict idle ones above the high watermark."""
+        self.request_ids.sweep()
         now, count = self.clock(), len(self.sessions)
         # Well-behaved clients hold a limited number of connections. If those that are idle after one request
         # stayed open, none would be left for further requests, long before this listener is full.
@@ -253,10 +250,30 @@
         """Return the number of commands without an answer."""
         return sum(len(session.answers) for session in self.sessions)
 
-    def release_request(self, request: OpenRequest) -> None:
-        """Release the id and the bytes of a finished request."""
-        self.open_request_ids.discard(request.payload.call.request_id)
-        self.open_request_bytes -= len(request.payload.call.raw)
+    def release_request(self, request: OpenRequest, is_answered: bool = True) -> None:
+        """Release the id and the bytes of a finished request.
+
+        An id under which an attempt was sent is not executed again if its client has left without an answer,
+        or if the class does not allow it."""
+        call = request.payload.call
+        self.request_ids.open.pop(call.request_id, None)
+        self.open_request_bytes -= len(call.raw)
+        if request.payload.is_sent and not (is_answered and self._is_idempotent(call)):
+            self.request_ids.remember_executed(call.request_id)
+
+    def _is_idempotent(self, call: resp.Call) -> bool:
+        request_class = self.core.settings.request_classes[self.class_indexes[call.class_name]]
+        return request_class.idempotency is Idempotency.IDEMPOTENT
+
+    def was_executed(self, call: resp.Call) -> bool:
+        """Return whether a request's id may have been executed already.
+
+        If the id is still open on a connection whose client has left, that session ends first."""
+        owner = self.request_ids.open.get(call.request_id)
+        if owner is not None and not owner.is_client_connected():
+            owner.abort()
+            owner.cancel_requests()
+        return self.request_ids.may_have_been_executed(call.request_id)
 
     def submit_request(
         self, session: ClientSession, call: resp.Call, is_idempotent: bool, answer: Answer
@@ -276,7 +293,7 @@
             raise MalformedError(f"class {call.class_name!r} does not come by this command")
         if idempotency is Idempotency.IDEMPOTENCY_KEY and not call.idempotency_key:
             raise MalformedError("a request of a keyed class without a key")
-        if call.request_id in self.open_request_ids:
+        if call.request_id in self.request_ids.open:
             raise MalformedError("the id is that of an open request")
         waited_ms = self.clock() - session.received_at  # for other commands to be handled
         incoming = IncomingRequest(
@@ -297,7 +314,7 @@
             request = self.core.submit(session, RequestPayload(call, answer), incoming)
         except OutOfRangeError as error:
             raise MalformedError(str(error)) from None
-        self.open_request_ids.add(call.request_id)
+        self.request_ids.open[call.request_id] = session
         self.open_request_bytes += len(call.raw)
         return request
 
--- a/scalelb/transport/session.py
+++ b/scalelb/transport/session.py
@@ -57,10 +57,11 @@
 class RequestPayload:
     """What an open request carries: its call, to be forwarded, and the place of its answer."""
 
-    __slots__ = ("answer", "call")
+    __slots__ = ("answer", "call", "is_sent")
 
     def __init__(self, call: resp.Call, answer: Answer) -> None:
         self.call, self.answer = call, answer
+        self.is_sent = False  # whether the first byte of an attempt was written
 
 
 class ClientSession(Stream):
@@ -276,16 +277,18 @@
         for answer in self.answers:
             if answer.request is not None and answer.data is None:
                 self.listener.count(answer.request.payload.call.class_name, self.listener.metrics.errors)
-        self._cancel_requests()
+        self.cancel_requests()
         for answer in self.answers:
             answer.data = FAILED_REPLY if answer.data is None else answer.data
         self._send_ready_answers()
 
-    def _cancel_requests(self) -> None:
+    def cancel_requests(self) -> None:
+        """Cancel the requests that have no answer yet."""
         for answer in self.answers:
             if answer.request is not None and answer.data is None:
-                self.listener.release_request(answer.request)
-                self.listener.core.cancel(answer.request)
+                request, answer.request = answer.request, None
+                self.listener.release_request(request, is_answered=False)
+                self.listener.core.cancel(request)
 
     def _handle_command(self, command: resp.Command) -> int:
         """Handle a command; return its cost."""
@@ -312,6 +315,10 @@
             self.listener.count(call.class_name, self.listener.metrics.rejected)
             self._append_answer(Answer(self.listener.busy_reply()))
             return
+        if self.listener.was_executed(call):
+            self.listener.count(call.class_name, self.listener.metrics.errors)
+            self._append_answer(Answer(FAILED_REPLY))
+            return
         answer = Answer()
         answer.request = self.listener.submit_request(self, call, name == resp.CALL_GET, answer)
         self.answers.append(answer)
@@ -466,7 +473,7 @@
         self.reader = resp.CommandReader()
         self.update_input_bytes()
         self._report_close()
-        self._cancel_requests()
+        self.cancel_requests()
         self.answers.clear()
         self.listener.on_disconnect(self)
 
--- a/tests/test_listeners_agree.py
+++ b/tests/test_listeners_agree.py
@@ -52,7 +52,13 @@
     reactor: Any = asyncioreactor.AsyncioSelectorReactor(asyncio.get_running_loop())
     reactor.startRunning(installSignalHandlers=False)
     listener = RespListener(
-        harness.core, list(CLASS_WEIGHTS), list(PLANS), lambda: True, lambda *_, **__: None, 10_000
+        harness.core,
+        list(CLASS_WEIGHTS),
+        list(PLANS),
+        lambda: True,
+        lambda *_, **__: None,
+        lambda function: reactor.callLater(0, function),
+        10_000,
     )
     port = reactor.listenTCP(0, listener, interface="127.0.0.1")
 
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -416,7 +416,7 @@
         harness.wire(f"client{number + 1}").protocol.dataReceived(
             call(number, swap=swap).replace("\n", "\r\n").encode()
         )
-    assert len(harness.listener.open_request_ids) == 50
+    assert len(harness.listener.request_ids.open) == 50
     for _ in range(30):
         harness.wait(1000)
         for wire in harness.net.wires.get("backend", []) + harness.net.wires.get("counter", []):
@@ -428,7 +428,7 @@
     assert not limiter.leases.calls
     assert not harness.loop.core.open_requests
     assert not harness.loop.core.timers.entries[2:]
-    assert not harness.listener.open_request_ids
+    assert not harness.listener.request_ids.open
     assert not harness.listener.sessions
     assert harness.listener.open_request_bytes == 0
     counter: Any = harness.loop.counter
@@ -793,7 +793,7 @@
     harness.wire("client")
     harness.run(MISBEHAVING_CLIENTS[name])
     assert not harness.loop.core.open_requests
-    assert not harness.listener.open_request_ids
+    assert not harness.listener.request_ids.open
     assert harness.listener.open_request_bytes == 0
 
 
