Tell a new process from the one before it at its address or under its id

Cause: an endpoint was known by name and address. (1) Late news of the old entry at an address removed the newer endpoint there (Loop.remove_replaced compared entries of one message only, and of equal starts the last). (2) A new start under the same id and address kept the connections and waiting attempts of the old process. (3) The group that drops a keyed request's repeats was read when the attempt ended, from the entry that the list held then.

--- a/scalelb/policy/attempt_sender.py
+++ b/scalelb/policy/attempt_sender.py
@@ -82,7 +82,7 @@
         must_begin_within_ms = request.must_retry_before - now
         number = request.attempts_sent
         self.outbox.add(SendAttempt(request.request_id, number, name, timeout_ms, must_begin_within_ms))
-        attempt = Attempt(request, tracked, request.units / self.estimates.units, now)
+        attempt = Attempt(request, tracked, tracked.endpoint, request.units / self.estimates.units, now)
         self.attempts[request.request_id, number] = attempt
         request.attempts_sent += 1
         request.last_endpoint = name
--- a/scalelb/policy/request.py
+++ b/scalelb/policy/request.py
@@ -99,5 +99,6 @@
 
     request: Request
     endpoint: TrackedEndpoint
+    sent_to: Endpoint  # as it was listed then; `endpoint` follows the list, also to a new process of the name
     load: float  # relative to a request of mean units
     sent_at: float  # ms
--- a/scalelb/policy/retry.py
+++ b/scalelb/policy/retry.py
@@ -72,7 +72,7 @@
         return
     request.may_have_executed = True
     request.executed_at = attempt.sent_at
-    request.executed_on = attempt.endpoint.endpoint
+    request.executed_on = attempt.sent_to
 
 
 def allowed_groups(request: Request, now: float, endpoints: Iterable[TrackedEndpoint]) -> list[int | None]:
--- a/scalelb/program/loop.py
+++ b/scalelb/program/loop.py
@@ -38,6 +38,11 @@
     return lambda: (time.monotonic() + offset) * 1000.0
 
 
+def start_order(endpoint: Endpoint) -> tuple[float, bool]:
+    """Return what orders endpoints at one address: by start, and of equal ones the serving one last."""
+    return endpoint.started_at, endpoint.state is EndpointState.SERVING
+
+
 class Loop:
     """The ports of one core, on pooled connections, the counter's connection and timers."""
 
@@ -170,7 +175,10 @@
         for entry in changed:
             if entry.state is not EndpointState.REMOVED:
                 self.pool.update_backend(
-                    entry.name, self.addresses[entry.name], entry.state is EndpointState.SERVING
+                    entry.name,
+                    self.addresses[entry.name],
+                    entry.state is EndpointState.SERVING,
+                    entry.started_at,
                 )
         removed = {entry.name for entry in changed if entry.state is EndpointState.REMOVED}
         listed = {entry.name for entry in changed} if is_complete else self.pool.backends.keys()
@@ -212,7 +220,7 @@
             if endpoint.state is not EndpointState.REMOVED:
                 self.addresses[endpoint.name] = address
             endpoints.append(endpoint)
-        endpoints = self.remove_replaced(endpoints)
+        endpoints = self.remove_replaced(endpoints, is_complete)
         states = {endpoint.name: endpoint.state.value for endpoint in endpoints}
         self.log("list", generation=generation, full=is_complete, servers=states)
         self.core.on_endpoints(self.overrides.on_endpoints(endpoints, is_complete), is_complete)
@@ -232,24 +240,28 @@
             for name in self.pool.backends
         )
 
-    def remove_replaced(self, endpoints: list[Endpoint]) -> list[Endpoint]:
+    def remove_replaced(self, endpoints: list[Endpoint], is_complete: bool) -> list[Endpoint]:
         """Mark an endpoint as removed if a newer one has its address.
 
         There is one machine at an address, so the older endpoint no longer exists, even if the list still
-        holds it. With both, the machine would get twice its share of requests while it is warming up."""
-        newest: dict[str, Endpoint] = {}
+        holds it, or news of it arrives late. With both, the machine would get twice its share of requests
+        while it is warming up."""
+        named = {endpoint.name for endpoint in endpoints}
+        listed = self.overrides.listed
+        known = (
+            [] if is_complete else [listed[n] for n in self.pool.backends if n in listed and n not in named]
+        )
+        current: dict[str, Endpoint] = {}  # by address
         replaced: dict[str, Endpoint] = {}
-        for endpoint in [item for item in endpoints if item.state is not EndpointState.REMOVED]:
+        for endpoint in [*known, *endpoints]:
+            if endpoint.state is EndpointState.REMOVED:
+                continue
             address = self.addresses[endpoint.name]
-            other = newest.setdefault(address, endpoint)
+            other = current.setdefault(address, endpoint)
             if other.name != endpoint.name:
-                older, newer = sorted((other, endpoint), key=lambda item: item.started_at)
+                older, newer = sorted((other, endpoint), key=start_order)
                 replaced[older.name] = replace(older, state=EndpointState.REMOVED)
-                newest[address] = newer
-        named = {endpoint.name for endpoint in endpoints}
-        for name, backend in self.pool.backends.items():
-            if name not in named and backend.address in newest:
-                replaced[name] = Endpoint(name, EndpointState.REMOVED)
+                current[address] = newer
         remaining = [endpoint for endpoint in endpoints if endpoint.name not in replaced]
         return remaining + list(replaced.values())
 
--- a/scalelb/transport/fetch.py
+++ b/scalelb/transport/fetch.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
+from math import inf
 
 from scalelb.core.ports import NO_LOAD_REPORT
 from scalelb.policy.events import Outcome
@@ -239,8 +240,9 @@
 class Backend:
     """The connections to one backend."""
 
-    def __init__(self, pool: ConnectionPool, name: str, address: str) -> None:
+    def __init__(self, pool: ConnectionPool, name: str, address: str, started_at: float = -inf) -> None:
         self.pool, self.name, self.address = pool, name, address
+        self.started_at = started_at  # ms, as discovery gives it
         self.socket_address = host_port(address)
         # In the order of release. The last one is reused first, so that surplus connections time out.
         self.idle: list[BackendConnection] = []
@@ -382,13 +384,17 @@
         """Return the number of connections that carry an attempt or health check or are opened for one."""
         return sum(c.attempt is not None for backend in self.backends.values() for c in backend.connections)
 
-    def update_backend(self, name: str, address: str, is_serving: bool = True) -> None:
-        """Add a backend of the endpoint list, or change its address; drain it unless `is_serving`."""
+    def update_backend(
+        self, name: str, address: str, is_serving: bool = True, started_at: float = -inf
+    ) -> None:
+        """Add a backend of the endpoint list; drain it unless `is_serving`.
+
+        A process that started later, or has another address, replaces it: its connections are to the old one."""
         backend = self.backends.get(name)
-        if backend is None or backend.address != address:
+        if backend is None or backend.address != address or started_at > backend.started_at:
             if backend is not None:
                 backend.retire()
-            backend = self.backends[name] = Backend(self, name, address)
+            backend = self.backends[name] = Backend(self, name, address, started_at)
         if is_serving:
             backend.is_serving = True
         else:
