Stop reading from a health client that does not read its answers

Found by reading; the new test covers the pause (its code did not exist before). Reads take 1 KiB there now.

--- a/scalelb/transport/fetch.py
+++ b/scalelb/transport/fetch.py
@@ -389,7 +389,7 @@
     ) -> None:
         """Add a backend of the endpoint list; drain it unless `is_serving`.
 
-        A process that started later, or has another address, replaces it: its connections are to the old one."""
+        A process that started later, or has another address, replaces it with its connections."""
         backend = self.backends.get(name)
         if backend is None or backend.address != address or started_at > backend.started_at:
             if backend is not None:
--- a/scalelb/transport/status.py
+++ b/scalelb/transport/status.py
@@ -15,6 +15,7 @@
 GetStatus = Callable[[], tuple[Status, float]]  # status and admission probability
 MAX_CLIENTS = 16  # connections of each listener
 CONNECTION_TIMEOUT_S = 10.0
+MAX_READ_BYTES = 1024  # of one read, which bounds the requests that are answered in one round
 
 
 class StatusConnection(Stream):
@@ -27,6 +28,7 @@
     def connectionMade(self) -> None:  # noqa: N802
         """Answer an agent check at once, without reading any input; otherwise wait for a request."""
         super().connectionMade()
+        self.transport.bufferSize = MAX_READ_BYTES
         factory = self.factory
         factory.clients.add(self)
         if factory.is_agent_check or len(factory.clients) > MAX_CLIENTS:
@@ -47,6 +49,13 @@
             self.factory.log("malformed", level="warning", what=str(error), peer=peer)
             self.send(http.response(400, "Bad Request", b"{}"))
             self.close()
+        if not self.is_flushed and not self.is_closed:  # the client does not read its answers
+            self.pause()
+
+    def on_flushed(self) -> None:
+        """Read on once the client has taken its answers."""
+        if self.paused and not self.is_closed:
+            self.resume()
 
     def on_request(self, method: str, path: str, keep_alive: bool) -> None:
         """Answer a request: `/health` and `/ready` report readiness, `/live` that the process runs."""
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -11,6 +11,7 @@
 from scalelb.program.config import Config, ConfigError
 from scalelb.protocol import resp
 from scalelb.transport.listener import SPARE_SESSIONS
+from scalelb.transport.status import StatusFactory
 
 SCENARIOS = {
     "ping is answered": """
@@ -904,3 +905,16 @@
     assert second.request is None
     assert request.payload.call.raw == b""
     harness.run("backend send {SERVED}\n client expect $2\\nok\\n$2\\nok\\n")
+
+
+def test_health_client_that_does_not_read_is_not_read_from() -> None:
+    # Its answers were buffered without end while it went on asking.
+    harness = Harness()
+    factory = StatusFactory(harness.net, harness.program.health_status, harness.log, is_agent_check=False)
+    wire = harness.net.connect("health", factory)
+    wire.protocol.is_flushed = False  # the kernel's send buffer is full
+    wire.protocol.dataReceived(b"GET /health HTTP/1.1\r\nHost: x\r\n\r\n")
+    assert wire.producerState == "paused"
+    wire.protocol.is_flushed = True
+    wire.protocol.on_flushed()
+    assert wire.producerState == "producing"
