Count input that a session discards itself once

Above the limit, on_input_stored may discard the command of the very session whose bytes are being added; that session set its own count afterwards, to the bytes before the discard, and the sum of all sessions fell below what is stored: the bound loosened with each such case.

--- a/scalelb/transport/listener.py
+++ b/scalelb/transport/listener.py
@@ -230,9 +230,9 @@
 
         Above the limit, the incomplete commands that take longest are discarded: they are those of clients
         that write slowly or have stopped."""
-        if not session.input_bytes:
-            self.storing[session] = None
-        elif session.input_bytes + difference == 0:
+        if session.input_bytes:
+            self.storing.setdefault(session)
+        else:
             self.storing.pop(session, None)
         self.input_budget.change(difference)
         while difference > 0 and self.input_budget.is_exceeded():
--- a/scalelb/transport/session.py
+++ b/scalelb/transport/session.py
@@ -118,10 +118,11 @@
 
     def update_input_bytes(self) -> None:
         """Report to the listener how many bytes of input are stored."""
-        size = self.reader.size
-        if size != self.input_bytes:
-            self.listener.on_input_stored(self, size - self.input_bytes)
-            self.input_bytes = size
+        difference = self.reader.size - self.input_bytes
+        if difference:
+            # Set first: the listener may discard this session's own command, which calls this again.
+            self.input_bytes += difference
+            self.listener.on_input_stored(self, difference)
 
     def may_discard_command(self) -> bool:
         """Return whether an incomplete command is stored, and nothing before it waits to be handled."""
