Free a request's bytes where it is released, also when its client leaves

on_answer freed them, so a cancelled request kept its bytes, uncounted, while its attempt was in flight. release_request, which takes them off the count, frees them now, for both ends of a request.

--- a/scalelb/transport/listener.py
+++ b/scalelb/transport/listener.py
@@ -258,6 +258,7 @@
         call = request.payload.call
         self.request_ids.open.pop(call.request_id, None)
         self.open_request_bytes -= len(call.raw)
+        call.raw = b""  # a finished request may stay in the table while its attempt is out
         if request.payload.is_sent and not (is_answered and self._is_idempotent(call)):
             self.request_ids.remember_executed(call.request_id)
 
--- a/scalelb/transport/session.py
+++ b/scalelb/transport/session.py
@@ -341,7 +341,6 @@
             self.listener.log_failure(request)
         answer = request.payload.answer
         answer.feeder = answer.request = None
-        request.payload.call.raw = b""  # a finished request may stay in the table while its attempt is out
         is_first = bool(self.answers) and self.answers[0] is answer
         if data is value and not answer.sent and not self._may_hold(len(data), is_first):
             data = FAILED_REPLY
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -933,3 +933,14 @@
     assert not listener.storing
     harness.wire("client").end()
     assert listener.input_budget.used == 0
+
+
+def test_bytes_of_a_cancelled_request_are_freed_although_its_attempt_is_in_flight() -> None:
+    # They stayed, uncounted, until the attempt ended, where the settings allow no cancelling of attempts.
+    harness = Harness(cancels_attempts=False)
+    harness.run("client send {call(1, 'record-answer', key='a', body='B' * 5000)}\n backend expect CALL.POST")
+    [request] = harness.loop.core.open_requests.values()
+    harness.run("client close")
+    assert request.in_flight
+    assert request.payload.call.raw == b""
+    assert harness.listener.open_request_bytes == 0
