--- a/scalelb/protocol/resp.py
+++ b/scalelb/protocol/resp.py
@@ -15,7 +15,7 @@
 from scalelb.protocol.commands import read_command as read_command
 from scalelb.protocol.framing import MAX_BUFFERED_VALUE_BYTES as MAX_BUFFERED_VALUE_BYTES
 from scalelb.protocol.framing import MAX_COMMAND_BYTES as MAX_COMMAND_BYTES
-from scalelb.protocol.framing import MAX_LENGTH_HEADER_BYTES, MAX_PARTS, Buffer, read_length
+from scalelb.protocol.framing import MAX_LENGTH_HEADER_BYTES, MAX_PARTS, read_length
 from scalelb.protocol.headers import MAX_IDEMPOTENCY_KEY_LENGTH, read_tenant
 
 HEX16 = re.compile(rb"[0-9a-fA-F]{16}")
@@ -174,10 +174,10 @@
     whose value is only the line end of the streamed one.
     """
 
-    __slots__ = ("buffer", "has_extra_bytes", "reads_streamed_end", "streamed_bytes_left")
+    __slots__ = ("has_extra_bytes", "reads_streamed_end", "received", "streamed_bytes_left")
 
     def __init__(self) -> None:
-        self.buffer = Buffer()
+        self.received = b""  # what is not part of a message that was returned
         self.has_extra_bytes = False  # whether bytes after the outstanding reply have arrived
         self.streamed_bytes_left = 0  # bytes of the streamed value that have not arrived yet
         # True from the start of a streamed value until the end of its reply has been read.
@@ -185,16 +185,13 @@
 
     def begin_streaming(self) -> bytes | None:
         """Return the received bytes of a long value, its length included; None if no such value has begun."""
-        received = b"".join(self.buffer.pieces)
+        received = self.received
         if self.reads_streamed_end or (match := _match_streamed_reply(received)) is None:
             return None
         value_end = match.end() + int(match[1])
-        self.buffer, self.streamed_bytes_left, self.reads_streamed_end = (
-            Buffer(),
-            max(0, value_end - len(received)),
-            True,
-        )
-        self.buffer.put_back(received, min(value_end, len(received)), 0)
+        self.received = received[value_end:]
+        self.streamed_bytes_left = max(0, value_end - len(received))
+        self.reads_streamed_end = True
         return received[match.start(1) - 1 : value_end]
 
     def split_streamed(self, data: bytes) -> tuple[memoryview, bytes]:
@@ -208,7 +205,7 @@
         """Return the reply if it is complete.
 
         Bytes after it are not parsed: they belong to no request. Raises `MalformedError`."""
-        buffer = self.buffer.append(data)
+        buffer = self.received + data if self.received else data
         if not buffer:
             return None
         reply = read_streamed_reply_end(buffer) if self.reads_streamed_end else read_reply(buffer, 0)
@@ -219,10 +216,10 @@
                 self.reads_streamed_end or _match_streamed_reply(buffer) is None
             ):
                 raise MalformedError("the reply is too long")
-            self.buffer.put_back(buffer, 0, 0)
+            self.received = buffer
             return None
         self.has_extra_bytes = reply.end < len(buffer)
-        self.buffer.put_back(buffer, len(buffer), 0)
+        self.received = b""
         return reply
 
 
