--- a/scalelb/core/lifecycle.py
+++ b/scalelb/core/lifecycle.py
@@ -101,16 +101,23 @@
     # Input
 
     def submit(
-        self, caller: Caller, payload: Any, incoming: IncomingRequest, admission_only: bool = False
+        self,
+        caller: Caller,
+        payload: Any,
+        incoming: IncomingRequest,
+        admission_only: bool = False,
+        waited_ms: float = 0.0,
     ) -> OpenRequest:
         """Accept a request; its caller gets the answer later, never during this call.
 
         With `admission_only` the caller forwards the request itself: the positive answer is `ADMITTED`, and
-        no attempt is sent.  Raises `OutOfRangeError`."""
+        no attempt is sent.  `waited_ms` has passed since the request was received.
+
+        Raises `OutOfRangeError`."""
         check_request(incoming, self.settings, self.limits.max_deadline_multiple)
         now = self.clock()
-        time_left_ms = incoming.expires_in_ms - self.limits.client_transit_ms - self.limits.answer_margin_ms
-        time_left_ms = max(0.0, time_left_ms)
+        margin_ms = self.limits.client_transit_ms + self.limits.answer_margin_ms
+        time_left_ms = max(0.0, incoming.expires_in_ms - waited_ms - margin_ms)
         expires_at = min(now + time_left_ms, self.latest_answer_at)
         request = self.open_requests.open(caller, payload, expires_at, incoming.client_address)
         self.timers.add(request.expires_at, REQUEST_DEADLINE, request.request_id)
--- a/scalelb/program/__main__.py
+++ b/scalelb/program/__main__.py
@@ -379,7 +379,7 @@
             memory_mb=round(usage.ru_maxrss / 1024, 1),
             resident_mb=resident_mb(),
             lag_ms=round(1000 * self.max_lag_s, 1),
-            input_bytes=self.listener.input_budget.used,
+            input_bytes=self.listener.input_bytes,
             request_bytes=self.listener.open_request_bytes,
             closed=self.listener.session_metrics.take(),
             sessions=len(self.listener.sessions),
--- a/scalelb/transport/input_scheduler.py
+++ b/scalelb/transport/input_scheduler.py
@@ -51,7 +51,7 @@
 
     def on_input(self, source: InputSource) -> None:
         """Let a session handle its commands: now if the round has capacity, else in its order."""
-        if source not in self.queued and not self.queue and self.round_cost < self.max_round_cost:
+        if not self.queue and self.round_cost < self.max_round_cost:
             self._serve(source)
         if source.has_input():
             self._enqueue(source)
--- a/scalelb/transport/listener.py
+++ b/scalelb/transport/listener.py
@@ -16,7 +16,6 @@
 from scalelb.core.request_table import OpenRequest
 from scalelb.policy.settings import DeduplicationScope, Idempotency
 from scalelb.protocol import MalformedError, resp
-from scalelb.transport.byte_budget import ByteBudget
 from scalelb.transport.input_scheduler import InputScheduler
 from scalelb.transport.request_ids import RequestIds
 from scalelb.transport.session import Answer, ClientSession, RequestPayload
@@ -88,7 +87,8 @@
         self.mean_value_bytes = 0.0  # of values that were served, a running average
         self.is_closing = self.is_full = False
         self.clock = core.clock
-        self.input_budget = ByteBudget(max_input_bytes)  # bytes that are read and belong to no request yet
+        self.max_input_bytes = max_input_bytes
+        self.input_bytes = 0  # that are read and belong to no request yet
         self.storing: dict[ClientSession, None] = {}  # sessions with such bytes, longest first
         self.max_shared_requests = max_shared_requests
         self.input_scheduler = InputScheduler(self.clock, call_in_next_round)
@@ -234,8 +234,8 @@
             self.storing.setdefault(session)
         else:
             self.storing.pop(session, None)
-        self.input_budget.change(difference)
-        while difference > 0 and self.input_budget.is_exceeded():
+        self.input_bytes += difference
+        while difference > 0 and self.input_bytes > self.max_input_bytes:
             longest = next((s for s in self.storing if s.may_discard_command()), None)
             if longest is None:
                 return
@@ -301,7 +301,7 @@
             tenant=call.tenant,
             plan_index=plan_index,
             class_index=class_index,
-            expires_in_ms=max(1.0, call.expires_in_ms - waited_ms) if waited_ms > 0 else call.expires_in_ms,
+            expires_in_ms=call.expires_in_ms,
             units=call.units,
             sharing_limiters=call.sharing_limiters,
             first_limiter=call.first_limiter,
@@ -312,7 +312,7 @@
             client_address=session.client_address,
         )
         try:
-            request = self.core.submit(session, RequestPayload(call, answer), incoming)
+            request = self.core.submit(session, RequestPayload(call, answer), incoming, waited_ms=waited_ms)
         except OutOfRangeError as error:
             raise MalformedError(str(error)) from None
         self.request_ids.open[call.request_id] = session
--- a/scalelb/transport/session.py
+++ b/scalelb/transport/session.py
@@ -18,7 +18,6 @@
 # Commands of a session without an answer: reading pauses at the first number and resumes below the second.
 MAX_PENDING_COMMANDS, RESUME_PENDING_COMMANDS = 64, 32
 MAX_LOGGED_IDS = 8  # of the requests without an answer, when a session ends
-MAX_READ_BYTES = 8 * 1024  # of one read: what a session may hold of commands that wait for their turn
 FAILED_REPLY = resp.error("failed")
 FIRST_BYTE_TIMEOUT_MS = 1800.0  # from connecting
 FIRST_COMMAND_TIMEOUT_MS = 2300.0  # from connecting; clients may take 2 s to send a request head
@@ -67,6 +66,8 @@
 class ClientSession(Stream):
     """A downstream connection, and the caller of its requests."""
 
+    max_read_bytes = 8 * 1024  # also what a session may hold of commands that wait for their turn
+
     def __init__(self, listener: RespListener) -> None:
         self.listener = listener
         self.reader = resp.CommandReader()
@@ -90,7 +91,6 @@
     def connectionMade(self) -> None:  # noqa: N802
         """Register the session with its listener."""
         super().connectionMade()
-        self.transport.bufferSize = MAX_READ_BYTES
         self.active_at = self.listener.clock()
         self.client_address = str(getattr(self.transport.getPeer(), "host", ""))
         self.listener.on_connect(self)
--- a/scalelb/transport/status.py
+++ b/scalelb/transport/status.py
@@ -15,12 +15,13 @@
 GetStatus = Callable[[], tuple[Status, float]]  # status and admission probability
 MAX_CLIENTS = 16  # connections of each listener
 CONNECTION_TIMEOUT_S = 10.0
-MAX_READ_BYTES = 1024  # of one read, which bounds the requests that are answered in one round
 
 
 class StatusConnection(Stream):
     """A connection of a status listener."""
 
+    max_read_bytes = 1024
+
     def __init__(self, factory: StatusFactory) -> None:
         self.factory = factory
         self.reader = http.RequestReader(self.on_request)
@@ -28,7 +29,6 @@
     def connectionMade(self) -> None:  # noqa: N802
         """Answer an agent check at once, without reading any input; otherwise wait for a request."""
         super().connectionMade()
-        self.transport.bufferSize = MAX_READ_BYTES
         factory = self.factory
         factory.clients.add(self)
         if factory.is_agent_check or len(factory.clients) > MAX_CLIENTS:
--- a/scalelb/transport/stream.py
+++ b/scalelb/transport/stream.py
@@ -80,6 +80,7 @@
     transport: Any = None
     is_flushed = True
     is_closed = False
+    max_read_bytes = 64 * 1024  # of one read, all of which is handled before other connections are read
     socket: Any = None
     connector: Any = None  # of an outgoing connection until it is established
 
@@ -89,6 +90,7 @@
         self.socket = getattr(self.transport, "socket", None)
         if self.socket is not None:
             self.transport.setTcpNoDelay(True)
+            self.transport.bufferSize = self.max_read_bytes
 
     def send(self, data: bytes | memoryview) -> None:
         """Write bytes; those that the kernel does not take at once are copied and written later."""
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -924,15 +924,15 @@
     # The session's own command was discarded while its bytes were being added: the sum fell below zero.
     harness = Harness()
     listener = harness.listener
-    listener.input_budget.limit = 300
+    listener.max_input_bytes = 300
     text = call(1, "record-answer", key="a", body="B" * 400)
     harness.wire("client").protocol.dataReceived(text.replace("\n", "\r\n").encode()[:200])
-    assert listener.input_budget.used > 0
+    assert listener.input_bytes > 0
     harness.wire("client").protocol.dataReceived(b"B" * 200)
-    assert listener.input_budget.used == 0
+    assert listener.input_bytes == 0
     assert not listener.storing
     harness.wire("client").end()
-    assert listener.input_budget.used == 0
+    assert listener.input_bytes == 0
 
 
 def test_bytes_of_a_cancelled_request_are_freed_although_its_attempt_is_in_flight() -> None:
