--- a/scalelb/program/config.py
+++ b/scalelb/program/config.py
@@ -35,6 +35,12 @@
 MIN_BUFFER_MEMORY_MB = 4.0  # For buffers, however little memory the process may have.
 SESSION_MEMORY_MB = 0.02  # Of a session and the input that waits for its turn.
 REPLY_MEMORY_MB = 0.08  # Of a reply as long as one that is not streamed can be.
+# Parts of the memory for buffers. Requests and answers may be held twice, while they are being written.
+SESSIONS_MEMORY_RATIO = 1 / 4
+REPLIES_MEMORY_RATIO = 1 / 4
+INPUT_MEMORY_RATIO = 1 / 8
+REQUESTS_MEMORY_RATIO = 1 / 10
+ANSWERS_MEMORY_RATIO = 1 / 5
 DEPLOY_DIRECTORY = Path(__file__).parent.parent.parent / "deploy"
 FRONTS_FILE, FAIRNESS_FILE, PEERS_FILE = (
     DEPLOY_DIRECTORY / "fronts.toml",
@@ -193,13 +199,13 @@
         """Client sessions at most.
 
         A third of all descriptors, at most, is for sessions with requests; the others are rejected."""
-        by_memory = int(self.buffer_memory_mb / 4 / SESSION_MEMORY_MB)
+        by_memory = int(SESSIONS_MEMORY_RATIO * self.buffer_memory_mb / SESSION_MEMORY_MB)
         return min(self.session_descriptors, by_memory)
 
     @property
     def max_backend_connections(self) -> int:
         """Connections to backends at most; each may hold a reply that is not complete yet."""
-        by_memory = int(self.buffer_memory_mb / 4 / REPLY_MEMORY_MB)
+        by_memory = int(REPLIES_MEMORY_RATIO * self.buffer_memory_mb / REPLY_MEMORY_MB)
         return min(self.available_descriptors - self.session_descriptors, by_memory)
 
     @property
@@ -217,19 +223,19 @@
     @property
     def max_input_bytes(self) -> int:
         """Bytes of commands that are not complete or not handled yet, at most."""
-        return self.buffer_bytes(1 / 8)
+        return self.buffer_bytes(INPUT_MEMORY_RATIO)
 
     @property
     def max_open_request_bytes(self) -> int:
         """Bytes of open requests at most; each may also be held as the command that is being forwarded."""
-        return self.buffer_bytes(1 / 10)
+        return self.buffer_bytes(REQUESTS_MEMORY_RATIO)
 
     @property
     def max_read_ahead_bytes(self) -> int:
         """Bytes of values, at most, that wait for slow clients.
 
         A value takes up to twice its length while it is buffered."""
-        return self.buffer_bytes(1 / 5)
+        return self.buffer_bytes(ANSWERS_MEMORY_RATIO)
 
 
 def read_config(environment: Mapping[str, str] = os.environ, is_reload: bool = False) -> Config:
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -29,12 +29,14 @@
 
 
 class Backend(threading.Thread):
-    """A backend that answers each command once `may_answer` is set."""
+    """A backend that answers each command once `may_answer` is set, and records the ids of its requests."""
 
     def __init__(self) -> None:
         super().__init__(daemon=True)
         self.server = socket.create_server(("127.0.0.1", 0))
         self.usage = b""  # usage figures in its answers
+        self.value = b"ok"
+        self.request_ids: list[bytes] = []
         self.may_answer, self.request_received = threading.Event(), threading.Event()
         self.may_answer.set()
         self.start()
@@ -46,11 +48,13 @@
 
     def serve(self, connection: socket.socket) -> None:
         with suppress(OSError):  # The limiter may be killed at any time.
-            while connection.recv(65536):
+            while data := connection.recv(65536):
+                self.request_ids += data.split(b"\r\n", 7)[6:7]
                 self.request_received.set()
                 self.may_answer.wait(TIMEOUT_S)
                 usage = b"$%d\r\n%s\r\n" % (len(self.usage), self.usage) if self.usage else b"$-1\r\n"
-                connection.sendall(b"*3\r\n$2\r\nok\r\n" + usage + b"$-1\r\n")
+                value = b"$%d\r\n%s\r\n" % (len(self.value), self.value)
+                connection.sendall(b"*3\r\n" + value + usage + b"$-1\r\n")
 
 
 class Peer:
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -4,7 +4,6 @@
 
 import json
 import signal
-import socket
 import subprocess
 import sys
 import threading
@@ -93,21 +92,12 @@
                 break
 
 
-class LargeValueBackend(Backend):
-    """A backend whose values are as large as one that is not streamed can be."""
-
-    def serve(self, connection: socket.socket) -> None:
-        with suppress(OSError):
-            while connection.recv(65536):
-                connection.sendall(b"*3\r\n$65536\r\n%s\r\n$-1\r\n$-1\r\n" % (b"v" * 65536))
-
-
 @pytest.mark.parametrize("memory_mb", [PAGE_MEMORY_MB, SMALL_MEMORY_MB])
-@pytest.mark.parametrize("backend", [LargeValueBackend()], ids=["large-values"])
 def test_memory_stays_within_its_setting_while_clients_do_not_read_their_values(
     start_limiter: Callable[..., LimiterProcess], backend: Backend, memory_mb: int
 ) -> None:
     # Values of up to 64 KiB that wait for slow clients were not counted.
+    backend.value = b"v" * 65_536
     limiter = start_limiter(settings=settings(), limits=ProcessLimits(memory_mb=memory_mb))
     limiter.wait_for_event("ready")
     Crowd(limiter, "new-tenants", 2, 60, "--deaf").wait()
@@ -142,22 +132,6 @@
     assert limiter.process.poll() is None
 
 
-class RecordingBackend(Backend):
-    """A backend that records the ids it receives and answers once `may_answer` is set."""
-
-    def __init__(self) -> None:
-        self.ids: list[bytes] = []
-        super().__init__()
-
-    def serve(self, connection: socket.socket) -> None:
-        with suppress(OSError):
-            while data := connection.recv(65536):
-                self.ids.append(data.split(b"\r\n")[6])
-                self.request_received.set()
-                self.may_answer.wait(TIMEOUT_S)
-                connection.sendall(b"*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n")
-
-
 def pause_process(limiter: LimiterProcess) -> None:
     """Stop the process and wait until it has stopped."""
     limiter.process.send_signal(signal.SIGSTOP)
@@ -167,12 +141,10 @@
 
 
 @pytest.mark.parametrize("count", [60, 3000, 20_000])
-@pytest.mark.parametrize("backend", [RecordingBackend()], ids=["recording"])
 def test_requests_of_a_client_that_closed_with_them_unread_are_not_sent_on(
-    start_limiter: Callable[..., LimiterProcess], backend: RecordingBackend, count: int
+    start_limiter: Callable[..., LimiterProcess], backend: Backend, count: int
 ) -> None:
     # The end of a connection was noticed behind all commands before it; 3,000 hide it from the kernel too.
-    backend.ids.clear()
     limiter = start_limiter(settings=settings(), limits=ProcessLimits())
     limiter.wait_for_event("ready")
     pause_process(limiter)
@@ -185,17 +157,14 @@
     with limiter.connect() as other:
         other.sendall(request(VICTIM_TENANT) + command(b"PING"))
         assert read_until(other, b"PONG").startswith(b"$")
-    assert len(backend.ids) == 1
+    assert len(backend.request_ids) == 1
 
 
 @pytest.mark.parametrize("class_name", [b"fetch-cards", b"record-answer"])
-@pytest.mark.parametrize("backend", [RecordingBackend()], ids=["recording"])
 def test_id_of_a_client_that_has_left_is_not_executed_again(
-    start_limiter: Callable[..., LimiterProcess], backend: RecordingBackend, class_name: bytes
+    start_limiter: Callable[..., LimiterProcess], backend: Backend, class_name: bytes
 ) -> None:
     # Only the ids of open requests were known; that of a client that had left was free at once.
-    backend.ids.clear()
-    backend.request_received.clear()
     backend.may_answer.clear()
     changed = settings()
     changed["classes"].append(
@@ -215,4 +184,4 @@
         assert read_until(client, b"\r\n").startswith(b"-ERR")
         client.sendall(command(b"PING"))
         assert read_until(client, b"\r\n") == b"+PONG\r\n"  # the connection goes on
-    assert len(backend.ids) == 1
+    assert len(backend.request_ids) == 1
