Look at the limit on input after a session's commands are taken; test slow writers and discarded commands

Counting input also discarded commands, before the new bytes were parsed: a command that alone passes the limit stayed until the next bytes of anybody came, and a session could be called while it counted. Counting and discarding are two steps now, the second after the session's turn.

--- a/scalelb/transport/listener.py
+++ b/scalelb/transport/listener.py
@@ -226,16 +226,18 @@
         return expected > self.max_read_ahead_bytes / 2
 
     def on_input_stored(self, session: ClientSession, difference: int) -> None:
-        """Record that a session stores more or fewer bytes of input.
-
-        Above the limit, the incomplete commands that take longest are discarded: they are those of clients
-        that write slowly or have stopped."""
+        """Record that a session stores more or fewer bytes of input."""
+        self.input_bytes += difference
         if session.input_bytes:
             self.storing.setdefault(session)
         else:
             self.storing.pop(session, None)
-        self.input_bytes += difference
-        while difference > 0 and self.input_bytes > self.max_input_bytes:
+
+    def discard_excess_input(self) -> None:
+        """Above the limit, discard the incomplete commands that take longest.
+
+        They are those of clients that write slowly or have stopped."""
+        while self.input_bytes > self.max_input_bytes:
             longest = next((s for s in self.storing if s.may_discard_command()), None)
             if longest is None:
                 return
--- a/scalelb/transport/session.py
+++ b/scalelb/transport/session.py
@@ -113,19 +113,19 @@
             self.command_started_at = self.received_at
         self.update_input_bytes()
         self.listener.input_scheduler.on_input(self)
+        self.listener.discard_excess_input()
         self.pause_or_resume()
 
     def update_input_bytes(self) -> None:
         """Report to the listener how many bytes of input are stored."""
         difference = self.reader.size - self.input_bytes
         if difference:
-            # Set first: the listener may discard this session's own command, which calls this again.
             self.input_bytes += difference
             self.listener.on_input_stored(self, difference)
 
     def may_discard_command(self) -> bool:
         """Return whether an incomplete command is stored, and nothing before it waits to be handled."""
-        return self.input_bytes > 0 and not self.reader.has_next() and not self.is_corked
+        return self.input_bytes > 0 and not self.reader.has_next()
 
     def discard_command(self) -> None:
         """Discard the incomplete command to free its memory; it is rejected when its last byte arrives."""
--- a/tests/hostile_clients.py
+++ b/tests/hostile_clients.py
@@ -2,7 +2,7 @@
 
 Each client writes as fast as the limiter reads; one whose connection ends connects again at once. The kinds
 are the keys of `PAYLOADS`. A client of a `FLOODS` kind goes on writing, the others stop after one payload and
-stay. With `--deaf` the clients read no answers.
+stay; one of a `SLOW` kind writes small pieces. With `--deaf` the clients read no answers.
 """
 
 from __future__ import annotations
@@ -36,6 +36,7 @@
 
 PAYLOADS: dict[str, Callable[[], bytes]] = {
     "half-command": lambda: request(1, BODY)[:40_000],
+    "slow-command": lambda: request(1, BODY),
     "almost-whole-command": lambda: request(1, BODY)[:-10],
     "short-fields": lambda: b"*140005\r\n" + b"$1\r\na\r\n" * 9000,
     "short-values": lambda: command(b"CALL.GET", b"0" * 16, b"1" * 16, b"a=1," * 250) * 60,
@@ -47,6 +48,8 @@
     "malformed": lambda: b"nonsense\r\n" * 100,
     "unknown-class": lambda: request(1, class_name=b"other"),
 }
+SLOW = {"slow-command"}
+PIECE_BYTES, PIECE_INTERVAL_S = 300, 0.01  # 64 KiB take as long as a client may write on a command
 FLOODS = {"large-requests", "ping", "unknown-command", "one-tenant", "new-tenants"}
 
 
@@ -55,6 +58,7 @@
 
     def __init__(self, port: int, kind: str) -> None:
         self.rest = PAYLOADS[kind]()
+        self.writes_at = 0.0  # not before
         self.socket = socket.socket()
         self.socket.setblocking(False)
         self.socket.connect_ex(("127.0.0.1", port))
@@ -96,7 +100,11 @@
             self.selector.modify(client.socket, selectors.EVENT_READ, client)
             return
         client.rest = client.rest or PAYLOADS[self.kind]()
-        client.rest = client.rest[client.socket.send(client.rest) :]
+        if self.kind not in SLOW:
+            client.rest = client.rest[client.socket.send(client.rest) :]
+        elif (now := time.monotonic()) >= client.writes_at:
+            client.rest = client.rest[client.socket.send(client.rest[:PIECE_BYTES]) :]
+            client.writes_at = now + PIECE_INTERVAL_S
 
 
 if __name__ == "__main__":
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -63,6 +63,8 @@
         (PAGE_MEMORY_MB, "large-requests", ("--deaf",)),
         (PAGE_MEMORY_MB, "almost-whole-command", ()),
         (SMALL_MEMORY_MB, "large-requests", ()),
+        (PAGE_MEMORY_MB, "slow-command", ()),
+        (SMALL_MEMORY_MB, "slow-command", ()),
         (SMALL_MEMORY_MB, "half-command", ()),
         (SMALL_MEMORY_MB, "almost-whole-command", ()),
         (SMALL_MEMORY_MB, "short-fields", ()),
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -944,3 +944,32 @@
     assert request.in_flight
     assert request.payload.call.raw == b""
     assert harness.listener.open_request_bytes == 0
+
+
+def test_command_discarded_for_lack_of_memory_is_rejected_at_its_end_and_the_session_goes_on() -> None:
+    # Its client may have written all of it: a close would lose it, and so would no answer.
+    harness = Harness()
+    harness.listener.max_input_bytes = 500
+    first, second = (
+        call(number, "record-answer", key="a", body="B" * 400).replace("\n", "\r\n").encode()
+        for number in (1, 2)
+    )
+    harness.wire("client").protocol.dataReceived(first[:300])
+    harness.wire("client2").protocol.dataReceived(second[:300])  # more than 500 together: the first goes
+    assert harness.listener.input_bytes == 300
+    assert harness.program.listener.session_metrics.discarded_commands == 1
+    harness.wire("client").protocol.dataReceived(first[300:])
+    harness.run("client expect -BUSY 1000\n client send *1\\n$4\\nPING\\n\n client expect +PONG")
+    harness.wire("client2").protocol.dataReceived(second[300:])
+    harness.wait(0)
+    harness.run("backend expect CALL.POST\n backend send {SERVED}\n client2 expect $2\\nok")
+    assert not harness.loop.core.counts.get("refused")  # nothing was charged for the first
+
+
+def test_discarded_command_that_does_not_end_gets_an_error_in_time() -> None:
+    harness = Harness()
+    harness.listener.max_input_bytes = 100
+    text = call(1, "record-answer", key="a", body="B" * 400).replace("\n", "\r\n").encode()
+    harness.wire("client").protocol.dataReceived(text[:200])
+    assert harness.listener.input_bytes == 0
+    harness.run("wait 2700\n client expect -ERR malformed: the command does not end\n client closed")
